--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -30,7 +30,7 @@
 			if err := writeHistory(history, events); err != nil {
 				return err
 			}
-			return errors.Wrap(json.NewEncoder(os.Stdout).Encode(emul.Summarize(events)), "print")
+			return errors.Wrap(json.NewEncoder(os.Stdout).Encode(emul.NewReport(events)), "print")
 		},
 	}
 	cmd.Flags().StringSliceVar(&addresses, "address", nil, "Addresses of nodes")
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,12 +12,16 @@
 )
 
 func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cmd := &cobra.Command{Use: "standin", Short: "Run stand-ins for tests and measurements", SilenceUsage: true, SilenceErrors: true}
 	cmd.AddCommand(newCmdPlatform(), newCmdUpstream(), newCmdCaller(), newCmdLayout())
-	if err := cmd.ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	return cmd.ExecuteContext(ctx)
 }
--- a/internal/chain/errors.go
+++ b/internal/chain/errors.go
@@ -44,7 +44,9 @@
 	Cause error
 }
 
-func (e *CorruptError) Error() string { return fmt.Sprintf("%s cannot be decoded: %v", e.Name, e.Cause) }
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s cannot be decoded: %v", e.Name, e.Cause)
+}
 
 // Unwrap returns the cause.
 func (e *CorruptError) Unwrap() error { return e.Cause }
--- a/internal/chain/follow.go
+++ b/internal/chain/follow.go
@@ -182,4 +182,3 @@
 	}
 	return snapshot, nil
 }
-
--- a/internal/emul/caller.go
+++ b/internal/emul/caller.go
@@ -152,7 +152,7 @@
 	if len(body) > 0 {
 		method = http.MethodPost
 	}
-	request, err := http.NewRequest(method, "http://"+address.String()+event.Path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address.String()+event.Path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "build request")
 	}
@@ -185,8 +185,8 @@
 	e.Whole = answer.RequestID == e.RequestID && answer.Digest == Digest(e.RequestID, body)
 }
 
-// Summarize sums up a history.
-func Summarize(events []Event) Report {
+// NewReport sums up a history.
+func NewReport(events []Event) Report {
 	report := Report{Requests: len(events), Versions: map[string]int{}}
 	histogram := hdrhistogram.New(1, maxMicros, histogramFine)
 	for _, e := range events {
--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -82,7 +82,6 @@
 
 	mu      sync.Mutex
 	running int64
-	leaving bool
 	first   time.Time
 	ledger  Ledger
 }
@@ -96,7 +95,7 @@
 
 // Run serves and announces itself until the context ends, then drains.
 func (u *Upstream) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", u.cfg.Address.String())
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", u.cfg.Address.String())
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -90,7 +90,7 @@
 
 // accepts reports whether the upstream's address takes connections.
 func (u *upstream) accepts() bool {
-	conn, err := net.DialTimeout("tcp", u.address.String(), probeTimeout)
+	conn, err := (&net.Dialer{Timeout: probeTimeout}).DialContext(context.Background(), "tcp", u.address.String())
 	if err != nil {
 		return false
 	}
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -69,7 +69,8 @@
 		record.Reason = reason
 		return
 	}
-	d.enter(record, record.GetStep()+1, stepShares[record.GetStep()+1])
+	next := record.GetStep() + 1
+	d.enter(record, next, max(stepShares[next], record.GetSharePermille()))
 }
 
 // begin opens the first share as soon as the old version's behaviour is known.
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -73,13 +73,22 @@
 	return names
 }
 
-// callsPerSecond returns the rate of all calls of the service.
+// callsPerSecond returns the calls of the service in its busiest second.
 func (v view) callsPerSecond() float64 {
-	calls := 0.0
+	seconds := history{}
 	for _, r := range v {
-		calls += r.from.sum().calls + r.to.sum().calls
+		for second, c := range r.from {
+			seconds.add(second, c)
+		}
+		for second, c := range r.to {
+			seconds.add(second, c)
+		}
+	}
+	busiest := 0.0
+	for _, c := range seconds {
+		busiest = max(busiest, c.calls)
 	}
-	return calls / windowSeconds
+	return busiest
 }
 
 // finding is the evidence against the new version on one route.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -188,7 +188,7 @@
 
 // listener opens one of the node's addresses.
 func listener(address netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", address.String())
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, &peer.ListenError{Address: address.String(), Cause: err}
 	}
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -168,8 +168,8 @@
 		}
 	}
 	sort.Strings(relays)
-	list := append(relays, others...)
-	return list[:min(len(list), maxAlternates)]
+	relays = append(relays, others...)
+	return relays[:min(len(relays), maxAlternates)]
 }
 
 func (h *Hub) add(l *link) bool {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -56,7 +56,6 @@
 
 	depth  atomic.Uint32
 	below  atomic.Pointer[Summary]
-	resume atomic.Uint64
 	wake   chan struct{}
 
 	mu       sync.Mutex
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -131,4 +131,3 @@
 	}
 	return answer
 }
-
--- a/pkg/cmd/move/wait/wait.go
+++ b/pkg/cmd/move/wait/wait.go
@@ -94,4 +94,3 @@
 		return nil
 	}
 }
-
