--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -22,6 +22,6 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cmd := &cobra.Command{Use: "standin", Short: "Run stand-ins for tests and measurements", SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(newCmdPlatform(), newCmdUpstream(), newCmdCaller(), newCmdLayout())
+	cmd.AddCommand(newCmdPlatform(), newCmdUpstream(), newCmdCaller(), newCmdLayout(), newCmdConverge(), newCmdSlopes())
 	return cmd.ExecuteContext(ctx)
 }
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -15,6 +17,7 @@
 
 	"github.com/turmericdale/turmericdale/internal/claim"
 	"github.com/turmericdale/turmericdale/internal/emul"
+	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/member"
 	"github.com/turmericdale/turmericdale/internal/move"
@@ -149,6 +152,25 @@
 	})
 }
 
+// A node that answers another call's answer is not believed.
+func TestCrossedAnswerIsNotDelivered(t *testing.T) {
+	f := newFixture(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	crossed := peer.NewServer(peer.ServerConfig{
+		Listener: listener, MaxHeadBytes: 1 << 16,
+		Call: func(_ context.Context, conn net.Conn, _ *wirepb.CallHead) {
+			_ = frame.Write(conn, &wirepb.AnswerHead{CallId: "other", Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: http.StatusOK})
+		},
+	})
+	go func() { _ = crossed.Serve(t.Context()) }()
+	other := memberRecord("self")
+	other.Node, other.PeerAddress, other.Life = "other", listener.Addr().String(), 2
+	f.members.Update(func(own *wirepb.MemberRecord) { own.Upstreams = nil })
+	f.members.Merge([]*wirepb.MemberRecord{other})
+	requireOutcome(t, f.send("/write", ""), http.StatusBadGateway, OutcomeUnknown)
+}
+
 func TestRefusedRequests(t *testing.T) {
 	tests := []struct {
 		name   string
