Let a node use two processors unless its settings say otherwise

Cause: a node spread over all processors spends its time waking threads up: the work of a call passes between four tasks.

Change: setting "processors", default 2.

Conclusion: 2 is the default, so that applying a large configuration on one processor does not hold up calls on the other (not measured); teams that count processor time can set 1.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -26,6 +26,7 @@
 	defaultQueueFactor  = 2
 	defaultMaxBodyBytes = 1 << 20
 	maxBodyBytes        = 16 << 20
+	defaultProcessors   = 2
 	defaultPollInterval = time.Second
 	minPollInterval     = 100 * time.Millisecond
 	maxPollInterval     = 5 * time.Second
@@ -86,6 +87,7 @@
 	PickPolicy       string
 	PollInterval     time.Duration
 	Seeds            []netip.AddrPort
+	Processors       int
 }
 
 // Load reads and checks a settings file; it returns *FileError or *Error.
@@ -148,6 +150,7 @@
 		PickPolicy:       c.oneOf("pick_policy", s.GetPickPolicy(), "least_loaded", "round_robin"),
 		PollInterval:     c.duration("poll_interval", s.GetPollInterval(), defaultPollInterval, minPollInterval, maxPollInterval),
 		Seeds:            c.seeds(s.GetSeeds()),
+		Processors:       c.number("processors", uint64(s.GetProcessors()), defaultProcessors, 1, 256),
 	}
 }
 
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -48,6 +49,7 @@
 		return errors.Wrap(err, "open log")
 	}
 	defer func() { _ = logger.Sync() }()
+	runtime.GOMAXPROCS(settings.Processors)
 	n, err := node.New(settings, logger)
 	if err != nil {
 		return err
--- a/script/deploy.sh
+++ b/script/deploy.sh
@@ -57,6 +57,7 @@
   start platform "$bin/standin" platform --address "$platform"
   "$bin/standin" layout --deployment "$deployment" --directory "$work" --platform "$platform" \
     --admin-token-sha256 "$(printf '%s' "$TURMERICDALE_TOKEN" | sha256sum | cut -d' ' -f1)" "$@"
+  if [ -n "${processors:-}" ]; then sed -i "s/\"name\":/\"processors\": $processors, \"name\":/" "$work"/*.jsonc; fi
   while IFS=$'\t' read -r node _; do
     start "node-$node" "$bin/turmericdale" node run --settings "$work/$node.jsonc"
   done <"$work/vms.tsv"
