--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -87,7 +87,10 @@
 
 // Upstream is a stand-in for a back end.
 type Upstream struct {
-	cfg UpstreamConfig
+	cfg   UpstreamConfig
+	crash context.CancelFunc
+	// crashed ends with a crash.
+	crashed context.Context
 
 	mu      sync.Mutex
 	running int64
@@ -97,9 +100,11 @@
 
 // NewUpstream returns an upstream that is not yet serving.
 func NewUpstream(cfg UpstreamConfig) *Upstream {
-	return &Upstream{cfg: cfg, ledger: Ledger{
+	u := &Upstream{cfg: cfg, ledger: Ledger{
 		Service: cfg.Service, Version: cfg.Version, Requests: map[string]int{}, Keys: map[string]int{}, Seconds: map[int64]SecondLedger{},
 	}}
+	u.crashed, u.crash = context.WithCancel(context.Background())
+	return u
 }
 
 // Run serves and announces itself until the context ends, then drains.
@@ -111,8 +116,12 @@
 	server := &http.Server{Handler: u.Handler(), ReadHeaderTimeout: time.Second}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
+	stop := context.AfterFunc(u.crashed, func() { _ = server.Close() })
+	defer stop()
 	u.announceUntil(ctx)
-	u.drain()
+	if u.crashed.Err() == nil {
+		u.drain()
+	}
 	return errors.Wrap(server.Close(), "close")
 }
 
@@ -124,9 +133,7 @@
 	r.Put("/control/fault", func(w http.ResponseWriter, r *http.Request) {
 		var fault Fault
 		if readJSON(w, r, &fault) {
-			u.mu.Lock()
-			defer u.mu.Unlock()
-			u.cfg.Fault = fault
+			u.SetFault(fault)
 		}
 	})
 	r.NotFound(u.call)
@@ -134,6 +141,16 @@
 	return r
 }
 
+// SetFault replaces the fault.
+func (u *Upstream) SetFault(fault Fault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cfg.Fault = fault
+}
+
+// Crash ends the upstream at once, cutting its calls and without a word to its node.
+func (u *Upstream) Crash() { u.crash() }
+
 // Ledger returns what the upstream executed so far.
 func (u *Upstream) Ledger() Ledger {
 	u.mu.Lock()
@@ -152,6 +169,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-u.crashed.Done():
+			return
 		case <-ticker.C:
 		}
 	}
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -69,7 +69,7 @@
 		record.Reason = reason
 		return
 	}
-	next := record.GetStep() + 1
+	next := min(record.GetStep()+1, uint32(len(stepShares)-1))
 	d.enter(record, next, max(stepShares[next], record.GetSharePermille()))
 }
 
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -163,6 +163,7 @@
 		{"opens nothing without upstreams", enough, 2 * time.Second, 0, 0, hold, 0, 0, false},
 		{"stays in a step that lasts", enough, 3 * time.Second, 0, 10, hold, 3, 10, false},
 		{"takes the next step", enough, 20 * time.Second, 0, 10, hold, 3, 50, false},
+		{"survives a record with a step that the plan lacks", enough, 50 * time.Second, 9, 800, hold, 3, 1000, false},
 		{"holds with a failure in sight", failing, 40 * time.Second, 1, 50, finish, 3, 50, false},
 		{"holds with little evidence", little, 58 * time.Second, 1, 50, hold, 3, 50, true},
 		{"finishes with little evidence when the team says so", little, 58 * time.Second, 3, 500, finish, 3, 1000, false},
--- a/internal/move/mover.go
+++ b/internal/move/mover.go
@@ -7,9 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -60,25 +58,6 @@
 	alarms   chan string
 }
 
-// movement is what this node knows of one declaration of a service.
-type movement struct {
-	declared uint64
-	nodes    map[string]*nodeEvidence
-	known    map[string]*wirepb.RouteBaseline
-	// step is the step for which began holds the new version's calls by route.
-	step    uint32
-	share   uint32
-	began   map[string]uint64
-	alarm   time.Time
-	wrote   time.Time
-	writing bool
-	// condemned is when this node first saw the verdict, verdictTried when it last tried to record it.
-	condemned    time.Time
-	verdictTried time.Time
-	// silent holds the deciders that did not answer the newest report.
-	silent map[string]bool
-}
-
 // New returns a mover.
 func New(cfg Config) *Mover {
 	return &Mover{cfg: cfg, services: map[string]*movement{}, alarms: make(chan string, 64)}
@@ -170,83 +149,6 @@
 	}
 }
 
-// ranks returns the deciders of a service, the same on all nodes with the same members.
-func (m *Mover) ranks(service *tree.Service) []*member.Upstream {
-	byNode := map[string]*member.Upstream{}
-	for _, u := range m.cfg.Members.Upstreams(service.Name) {
-		byNode[u.Node] = u
-	}
-	list := make([]*member.Upstream, 0, len(byNode))
-	for _, u := range byNode {
-		list = append(list, u)
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := xxhash.Sum64String(service.Name+"/"+list[i].Node), xxhash.Sum64String(service.Name+"/"+list[j].Node)
-		if a != b {
-			return a < b
-		}
-		return list[i].Node < list[j].Node
-	})
-	return list[:min(len(list), deciders)]
-}
-
-func rankOf(ranks []*member.Upstream, node string) int {
-	for i, u := range ranks {
-		if u.Node == node {
-			return i
-		}
-	}
-	return -1
-}
-
-// send reports to the other deciders and learns from their answers.
-func (m *Mover) send(ctx context.Context, service *tree.Service, ranks []*member.Upstream, report *wirepb.EvidenceReport) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for _, u := range ranks {
-		if u.Node == m.cfg.Node {
-			continue
-		}
-		wait.Go(func() {
-			reply, err := m.cfg.Report(ctx, u.PeerAddress, report)
-			m.noteAnswer(service, u.Node, err == nil)
-			for _, v := range reply.GetVerdicts() {
-				m.cfg.Verdicts.Merge(v)
-			}
-			m.cfg.Meter.Learn(service, reply.GetBaselines())
-		})
-	}
-	wait.Wait()
-}
-
-func (m *Mover) noteAnswer(service *tree.Service, node string, answered bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	movement := m.movementOf(service.Name, service.Record.GetDeclaredRevision())
-	if answered {
-		delete(movement.silent, node)
-	} else {
-		movement.silent[node] = true
-	}
-}
-
-// leads reports whether all deciders before this node are silent.
-func (m *Mover) leads(service *tree.Service, ranks []*member.Upstream) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	movement := m.movementOf(service.Name, service.Record.GetDeclaredRevision())
-	for _, u := range ranks {
-		if u.Node == m.cfg.Node {
-			return true
-		}
-		if !movement.silent[u.Node] {
-			return false
-		}
-	}
-	return false
-}
-
 // Take takes in a node's evidence and returns the answer to it.
 func (m *Mover) Take(report *wirepb.EvidenceReport) *wirepb.EvidenceReply {
 	service, found := m.cfg.Log.State().Services[report.GetService()]
@@ -269,37 +171,6 @@
 	return &wirepb.EvidenceReply{Baselines: baselines, Verdicts: m.cfg.Verdicts.List(service.Name)}
 }
 
-func (m *Mover) movementOf(service string, declared uint64) *movement {
-	known, found := m.services[service]
-	if found && known.declared == declared {
-		return known
-	}
-	fresh := &movement{
-		declared: declared, nodes: map[string]*nodeEvidence{}, known: map[string]*wirepb.RouteBaseline{},
-		began: map[string]uint64{}, silent: map[string]bool{},
-	}
-	m.services[service] = fresh
-	return fresh
-}
-
-func (m *movement) view(record *wirepb.MoveRecord, now time.Time) view {
-	for name, n := range m.nodes {
-		if n.trim(now) {
-			delete(m.nodes, name)
-		}
-	}
-	return newView(record, m.nodes)
-}
-
-func (m *movement) take(report *wirepb.EvidenceReport, now time.Time) {
-	n, found := m.nodes[report.GetNode()]
-	if !found {
-		n = &nodeEvidence{series: map[seriesKey]*nodeSeries{}}
-		m.nodes[report.GetNode()] = n
-	}
-	n.take(report, now)
-}
-
 // condemn finds a version bad when the evidence suffices; after an alarm it waits until all nodes could report.
 func (m *Mover) condemn(service *tree.Service) bool {
 	m.mu.Lock()
@@ -347,10 +218,11 @@
 		service: service, now: now, view: current, known: movement.known,
 		began: movement.began, candidates: m.candidates(service),
 	}
-	next := d.next()
+	decide := d.next
 	if m.cfg.Policy == PolicyClock {
-		next = d.nextByClock()
+		decide = d.nextByClock
 	}
+	next := decide()
 	if next == nil || movement.writing || onlyReason(service.Record, next) && now.Sub(movement.wrote) < reasonInterval {
 		return nil
 	}
@@ -364,17 +236,6 @@
 	m.movementOf(service.Name, service.Record.GetDeclaredRevision()).writing = false
 }
 
-// enterStep notes the new version's calls when a step begins, as far as this node saw it begin.
-func (m *movement) enterStep(record *wirepb.MoveRecord, current view) {
-	if m.step == record.GetStep() && m.share == record.GetSharePermille() {
-		return
-	}
-	m.step, m.share = record.GetStep(), record.GetSharePermille()
-	for name, r := range current {
-		m.began[name] = r.toTotal
-	}
-}
-
 func (m *Mover) candidates(service *tree.Service) int {
 	count := 0
 	for _, u := range m.cfg.Members.Upstreams(service.Name) {
@@ -391,66 +252,6 @@
 	return proto.Equal(before, same)
 }
 
-// recordVerdict writes a verdict into the move's record; the verdict is in force without it.
-func (m *Mover) recordVerdict(ctx context.Context, service *tree.Service) {
-	if service.Record.GetState() == wirepb.MoveState_MOVE_STATE_TAKEN_BACK || !m.startVerdictWrite(service) {
-		return
-	}
-	defer m.finishWrite(service)
-	next := TakenBack(service.Record, m.cfg.Verdicts.Get(service.Name).GetReason(), m.cfg.Now())
-	if err := m.write(ctx, service.Record, next); err != nil {
-		m.cfg.Logger.Info("taking back not recorded yet", zap.String("service", service.Name), zap.Error(err))
-	}
-}
-
-// startVerdictWrite lets the first decider write at once and the others later, should the record not have followed.
-func (m *Mover) startVerdictWrite(service *tree.Service) bool {
-	rank := rankOf(m.ranks(service), m.cfg.Node)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	movement := m.movementOf(service.Name, service.Record.GetDeclaredRevision())
-	now := m.cfg.Now()
-	if movement.condemned.IsZero() {
-		movement.condemned = now
-	}
-	early := now.Sub(movement.condemned) < time.Duration(rank)*rankDelay
-	if rank < 0 || early || movement.writing || now.Sub(movement.verdictTried) < verdictInterval {
-		return false
-	}
-	movement.writing, movement.verdictTried = true, now
-	return true
-}
-
-// TakenBack returns the record of a move that is taken back.
-func TakenBack(record *wirepb.MoveRecord, reason string, now time.Time) *wirepb.MoveRecord {
-	next := proto.CloneOf(record)
-	next.State, next.SharePermille, next.Reason = wirepb.MoveState_MOVE_STATE_TAKEN_BACK, 0, reason
-	next.StepAt = timestamppb.New(now)
-	return next
-}
-
-// TakeBack takes a running or watched move back at an operator's word; it returns *MissingError, *EndedError or the
-// errors of a commit, after which the calls stay away from the version all the same.
-func (m *Mover) TakeBack(ctx context.Context, name, reason string) error {
-	service, found := m.cfg.Log.State().Services[name]
-	if !found || service.Record == nil {
-		return &MissingError{Service: name}
-	}
-	if !service.Moving() {
-		return &EndedError{Service: name, State: service.Record.GetState().String()}
-	}
-	m.cfg.Verdicts.Merge(&wirepb.Verdict{
-		Service: name, Version: service.Record.GetTo(), Reason: reason,
-		DeclaredRevision: service.Record.GetDeclaredRevision(),
-	})
-	err := m.write(ctx, service.Record, TakenBack(service.Record, reason, m.cfg.Now()))
-	var overtaken *OvertakenError
-	if errors.As(err, &overtaken) {
-		return nil
-	}
-	return err
-}
-
 // write commits a record that follows one that was read; it returns *OvertakenError when another decision was first.
 func (m *Mover) write(ctx context.Context, before, after *wirepb.MoveRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/script/deploy.sh
+++ b/script/deploy.sh
@@ -24,8 +24,9 @@
 
 stop_all() {
   local pid
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill "$pid" 2>/dev/null; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
+  # Processes that have ended already must not keep the others from being ended.
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   pids=()
 }
 
--- a/test/proof/move_test.go
+++ b/test/proof/move_test.go
@@ -118,6 +118,49 @@
 	requireNoFailures(t, events)
 }
 
+// What befalls a good version without being its fault must not take it back.
+func TestGoodVersionIsNotBlamed(t *testing.T) {
+	const halfShare = 500
+	tests := []struct {
+		name    string
+		disturb func(d *deployment)
+	}{
+		{"for a fault that both versions share", func(d *deployment) {
+			for _, u := range d.upstreams {
+				u.SetFault(emul.Fault{Kind: emul.FaultFailing, Share: 0.6})
+			}
+			time.Sleep(2 * time.Second)
+			for _, u := range d.upstreams {
+				u.SetFault(emul.Fault{})
+			}
+		}},
+		{"for a slowness that both versions share", func(d *deployment) {
+			for _, u := range d.upstreams {
+				u.SetFault(emul.Fault{Kind: emul.FaultSlow, Delay: 80 * time.Millisecond})
+			}
+			time.Sleep(2 * time.Second)
+			for _, u := range d.upstreams {
+				u.SetFault(emul.Fault{})
+			}
+		}},
+		{"for the crash of one upstream", func(d *deployment) { d.upstreams[d.vms[1].Upstream(1)].Crash() }},
+		{"for the end of one node", func(d *deployment) { d.kill("shop-1") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t)
+			wait := d.call(2*moveTime, shopLoads...)
+			d.newVersion(emul.UpstreamConfig{})
+			d.declare(moveTime + 2*time.Second)
+			d.await(moveTime, "half of the share", func() bool { return d.move(d.vms[0]).GetSharePermille() >= halfShare })
+			tt.disturb(d)
+			d.awaitState(2*moveTime, wirepb.MoveState_MOVE_STATE_DONE)
+			d.requireHistory(wait())
+		})
+	}
+}
+
 func TestBadVersionIsTakenBack(t *testing.T) {
 	tests := []struct {
 		name  string
