Find a call's route by its path, not by a scan of all routes

Change: a map of prefixes, asked for each prefix of the path that ends at a slash. Removed what nothing used; changes that wait when a node stops are answered as not committed in place of running into their time limit. A proof for the loss of both relays of a data centre.

--- a/internal/chain/commit.go
+++ b/internal/chain/commit.go
@@ -64,6 +64,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			l.refuseWaiting()
 			return
 		case first := <-l.queue:
 			l.commitBatch(ctx, l.gather(first))
@@ -71,6 +72,18 @@
 	}
 }
 
+// refuseWaiting answers the changes that the process no longer commits.
+func (l *Log) refuseWaiting() {
+	for {
+		select {
+		case s := <-l.queue:
+			answer([]*submission{s}, 0, &StoppedError{})
+		default:
+			return
+		}
+	}
+}
+
 func (l *Log) gather(first *submission) []*submission {
 	batch := []*submission{first}
 	for len(batch) < maxBatch {
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -26,11 +26,6 @@
 
 func (e *ClosedError) Error() string { return "connections are closed" }
 
-// KindError says that a stream opened with an unknown kind of message.
-type KindError struct{}
-
-func (e *KindError) Error() string { return "stream opened with an unknown kind" }
-
 // ListenError says that an address cannot be listened on.
 type ListenError struct {
 	Address string
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -29,9 +29,8 @@
 )
 
 const (
-	maxDepth       = 32
-	maxKeyBytes    = 256
-	maxHeaderBytes = 32 << 10
+	maxDepth    = 32
+	maxKeyBytes = 256
 )
 
 // Config configures a Proxy.
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -1,8 +1,6 @@
 package tree
 
 import (
-	"sort"
-
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -70,13 +68,6 @@
 			return err
 		}
 	}
-	sort.Slice(s.routes, func(i, j int) bool {
-		a, b := s.routes[i], s.routes[j]
-		if len(a.PathPrefix) != len(b.PathPrefix) {
-			return len(a.PathPrefix) > len(b.PathPrefix)
-		}
-		return a.PathPrefix < b.PathPrefix
-	})
 	return nil
 }
 
@@ -112,16 +103,16 @@
 
 // checkPrefixes refuses equal prefixes and prefixes under those of another team.
 func (s *State) checkPrefixes() error {
-	owners := make(map[string]*Route, len(s.routes))
+	s.prefixes = make(map[string]*Route, len(s.routes))
 	for _, r := range s.routes {
-		if other, found := owners[r.PathPrefix]; found {
+		if other, found := s.prefixes[r.PathPrefix]; found {
 			return prefixFailure(r, other)
 		}
-		owners[r.PathPrefix] = r
+		s.prefixes[r.PathPrefix] = r
 	}
 	for _, r := range s.routes {
 		for i := len(r.PathPrefix) - 1; i > 0; i-- {
-			other, found := owners[r.PathPrefix[:i]]
+			other, found := s.prefixes[r.PathPrefix[:i]]
 			if found && other.Team != r.Team && below(other.PathPrefix, r.PathPrefix) {
 				return prefixFailure(r, other)
 			}
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -50,7 +50,9 @@
 
 	entries map[string]*entry
 	routes  []*Route
-	tokens  map[string][]string
+	// prefixes holds the routes by their path prefix.
+	prefixes map[string]*Route
+	tokens   map[string][]string
 }
 
 type entry struct {
@@ -145,28 +147,19 @@
 	return list
 }
 
-// Match returns the route with the longest prefix of a path, or nil.
+// Match returns the route with the longest prefix of a path, or nil; its time grows with the path, not with the routes.
 func (s *State) Match(path string) *Route {
-	for _, r := range s.routes {
-		if below(r.PathPrefix, path) {
+	for i := len(path); i > 0; i-- {
+		if i < len(path) && path[i] != '/' && path[i-1] != '/' {
+			continue
+		}
+		if r, found := s.prefixes[path[:i]]; found {
 			return r
 		}
 	}
 	return nil
 }
 
-// RoutesOf returns the routes of a service, ordered by name.
-func (s *State) RoutesOf(service string) []*Route {
-	var routes []*Route
-	for _, r := range s.routes {
-		if r.Service.Name == service {
-			routes = append(routes, r)
-		}
-	}
-	sort.Slice(routes, func(i, j int) bool { return routes[i].Name < routes[j].Name })
-	return routes
-}
-
 // TokensOf returns the hexadecimal SHA-256 hashes of a team's tokens.
 func (s *State) TokensOf(team string) []string { return s.tokens[team] }
 
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -112,6 +112,42 @@
 	require.Nil(t, s.Match("/shopping"))
 }
 
+func TestMatchFindsTheLongestOfAllPrefixes(t *testing.T) {
+	prefixes := []string{"/", "/a", "/a/", "/a/b", "/ab", "/a/b/c"}
+	rapid.Check(t, func(r *rapid.T) {
+		s := Empty()
+		s.prefixes = map[string]*Route{}
+		for _, p := range rapid.SliceOfDistinct(rapid.SampledFrom(prefixes), func(p string) string { return p }).Draw(r, "prefixes") {
+			s.prefixes[p] = &Route{PathPrefix: p}
+		}
+		path := "/" + rapid.StringOfN(rapid.SampledFrom([]rune("ab/c")), 0, 6, -1).Draw(r, "path")
+		want := ""
+		for p := range s.prefixes {
+			if below(p, path) && len(p) > len(want) {
+				want = p
+			}
+		}
+		got := ""
+		if match := s.Match(path); match != nil {
+			got = match.PathPrefix
+		}
+		require.Equal(r, want, got, path)
+	})
+}
+
+func BenchmarkMatch(b *testing.B) {
+	s := Empty()
+	s.prefixes = map[string]*Route{}
+	for i := range 12600 {
+		prefix := fmt.Sprintf("/s%d/r%d", i/3, i%3)
+		s.prefixes[prefix] = &Route{PathPrefix: prefix}
+		s.routes = append(s.routes, s.prefixes[prefix])
+	}
+	for b.Loop() {
+		s.Match("/s4199/r1/dials/52")
+	}
+}
+
 func TestDeclaredMoves(t *testing.T) {
 	const declaration = `{"version": "v2", "deadline": "2027-01-01T13:00:00Z"}`
 	t.Run("start with no share", func(t *testing.T) {
--- a/test/proof/config_test.go
+++ b/test/proof/config_test.go
@@ -113,3 +113,45 @@
 		d.platform.SetFaults(emul.PlatformFaults{})
 	})
 }
+
+// relaysOf returns the relays of a data centre.
+func (d *deployment) relaysOf(centre string) []emul.VM {
+	var list []emul.VM
+	for _, v := range d.relays() {
+		if v.DataCentre == centre {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+func TestLossOfBothRelaysOfADataCentre(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(d *deployment, v emul.VM)
+	}{
+		{"killed", func(d *deployment, v emul.VM) { d.kill(v.Node) }},
+		{"frozen", func(d *deployment, v emul.VM) {
+			d.signal(v.Node, syscall.SIGSTOP)
+			cmd := d.nodes[v.Node]
+			d.t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+			delete(d.nodes, v.Node)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := start(t)
+			d.await(startTime, "two relays", func() bool { return len(d.relaysOf("dc-a")) == 2 })
+			for _, v := range d.relaysOf("dc-a") {
+				tt.lose(d, v)
+			}
+			d.requireChangeInForce(1)
+			d.await(startTime, "a relay", func() bool { return len(d.relaysOf("dc-a")) == 1 })
+			d.requireChangeInForce(2)
+			d.await(startTime, "the lost nodes to count as down", func() bool {
+				return int(d.status(d.relays()[0]).GetMembers()) == len(d.nodes)
+			})
+		})
+	}
+}
