--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/turmericdale/turmericdale/internal/admit"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -197,6 +198,15 @@
 			require.ErrorAs(t, f.Announce(a), &refused)
 		})
 	}
+	t.Run("calls that wait do not run on a version that took the place of theirs", func(t *testing.T) {
+		waiting := f.find("shop", "v1").gate
+		next := f.announcement()
+		next.Version = "v2"
+		require.NoError(t, f.Announce(next))
+		var refused *admit.RefusedError
+		require.ErrorAs(t, waiting.Acquire(t.Context(), wirepb.Class_CLASS_NORMAL), &refused)
+		require.NoError(t, f.Announce(f.announcement()))
+	})
 	t.Run("a late announcement does not bring back one that left", func(t *testing.T) {
 		leaving := f.announcement()
 		leaving.Leaving = true
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -130,6 +130,10 @@
 	if a.GetLeaving() || found && r.cfg.Now().Sub(known.left) < returnTime || !found && len(r.upstreams) >= maxUpstreams {
 		return false
 	}
+	if found {
+		// Calls that wait for the version that was here before must not run on the one that took its place.
+		known.gate.Close()
+	}
 	r.upstreams[address] = newUpstream(address, a, r.cfg)
 	r.cfg.Logger.Info("upstream announced", zap.String("service", a.GetService()), zap.String("version", a.GetVersion()), zap.Stringer("address", address))
 	return true
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -46,7 +46,7 @@
 			record.State, record.Reason = wirepb.MoveState_MOVE_STATE_DONE, ""
 		}
 	}
-	record.Late = record.GetLate() || Late(record, d.now)
+	record.Late = Late(record, d.now)
 	if proto.Equal(record, d.service.Record) {
 		return nil
 	}
--- a/internal/move/plan.go
+++ b/internal/move/plan.go
@@ -51,10 +51,10 @@
 	return max(p.Latest[step].Sub(entered), minStepTime)
 }
 
-// Late reports whether the deadline cannot be met any more from a step.
+// Late reports whether the deadline was missed, or cannot be met any more from a step.
 func Late(record *wirepb.MoveRecord, now time.Time) bool {
-	if record.GetState() != wirepb.MoveState_MOVE_STATE_RUNNING {
-		return record.GetLate()
+	if record.GetMovedAt() != nil {
+		return record.GetMovedAt().AsTime().After(record.GetDeadline().AsTime())
 	}
 	left := len(stepWeights) - int(record.GetStep())
 	return now.Add(time.Duration(left) * minStepTime).After(record.GetDeadline().AsTime())
