Count input that net/http refuses, and complete the upstream's stand-in

Cause: garbage on the HTTP ports was refused by net/http itself and counted nowhere; the stand-in lacked the connection limit and the lagging load report that the users' upstreams have.

Change: a connection that sent something, but no request that a handler saw, is counted under the name of its port. The stand-in closes connections above its limit and answers /load with a value up to 3 s old.

--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -27,6 +27,7 @@
 	announceTimeout  = 500 * time.Millisecond
 	maxUpstreamBody  = 16 << 20
 	padBytes         = 512
+	loadLag          = 3 * time.Second
 )
 
 // HeaderRequestID carries the caller's own id of a request.
@@ -94,8 +95,12 @@
 
 	mu      sync.Mutex
 	running int64
-	first   time.Time
-	ledger  Ledger
+	conns   int
+	// reported is the load that /load shows since reportedAt.
+	reported   int64
+	reportedAt time.Time
+	first      time.Time
+	ledger     Ledger
 }
 
 // NewUpstream returns an upstream that is not yet serving.
@@ -113,7 +118,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: u.Handler(), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: u.Handler(), ReadHeaderTimeout: time.Second, ConnState: u.limitConnections}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	stop := context.AfterFunc(u.crashed, func() { _ = server.Close() })
@@ -125,10 +130,36 @@
 	return errors.Wrap(server.Close(), "close")
 }
 
+// limitConnections closes connections above the limit.
+func (u *Upstream) limitConnections(conn net.Conn, state http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		u.conns++
+		if u.conns > u.cfg.Connections {
+			_ = conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		u.conns--
+	}
+}
+
+// load answers with a load that is some seconds old, as real upstreams do.
+func (u *Upstream) load(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now := time.Now(); now.Sub(u.reportedAt) > loadLag {
+		u.reported, u.reportedAt = u.running, now
+	}
+	writeJSON(w, map[string]int64{"running": u.reported})
+}
+
 // Handler serves calls, /health and the ledger under /control.
 func (u *Upstream) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/load", u.load)
 	r.Get("/control/ledger", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Ledger()) })
 	r.Put("/control/fault", func(w http.ResponseWriter, r *http.Request) {
 		var fault Fault
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,9 +169,9 @@
 	run(func(ctx context.Context) { n.picker.Run(ctx, n.members.Feed.Changed) })
 	group.Go(func() error { return n.peers.Serve(ctx) })
 	return []*http.Server{
-		n.serve(group, n.callers, n.closing(n.proxy), func() { n.awaitConfiguration(ctx) }),
-		n.serve(group, n.admins, n.closing(n.admin.Handler()), func() {}),
-		n.serve(group, n.locals, n.announcements(), func() {}),
+		n.serve(group, n.callers, n.closing(n.proxy), "caller", func() { n.awaitConfiguration(ctx) }),
+		n.serve(group, n.admins, n.closing(n.admin.Handler()), "admin", func() {}),
+		n.serve(group, n.locals, n.announcements(), "announce", func() {}),
 	}
 }
 
@@ -190,11 +190,12 @@
 	}
 }
 
-func (n *Node) serve(group *errgroup.Group, l net.Listener, handler http.Handler, await func()) *http.Server {
+func (n *Node) serve(group *errgroup.Group, l net.Listener, handler http.Handler, face string, await func()) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders,
 		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
+	watchInput(server, func() { n.metrics.Garbage(face) })
 	group.Go(func() error {
 		await()
 		if err := server.Serve(l); !n.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
