End a conversation with a frozen node at its caller's deadline

Cause: closing a yamux stream does not end a read that waits on it. A report of evidence (400 ms) or a call (its try's time) to a frozen node therefore went on after its deadline; with its last stream closed the session was not even pinged any more, so it could go on until another stream's ping failed. A decider judged only after its reports had returned: in a trace of a red run both deciders had evidence of 35 and 40 nats (6.9 needed) and several visits ended together. Ruled out: the weight of the evidence (the trace), alarms that hold the verdict back (300 ms), routing away from the bad upstream, a slow machine (load below 5 of 6 processors). Change: closing a stream ends its read; a decider judges before it reports, so that no silent one delays the verdict. Conclusion: mended; calls through a frozen node now also end with their try's time.

--- a/internal/move/mover.go
+++ b/internal/move/mover.go
@@ -120,7 +120,8 @@
 	return distinct
 }
 
-// visit reports a service's evidence, judges it and, if this node is the first decider that answers, takes the next step.
+// visit judges a service by what is known here, reports its evidence and, if this node is the first decider that
+// answers, takes the next step. The verdict comes before the report, so that no silent decider delays it.
 func (m *Mover) visit(ctx context.Context, name string, mayStep bool) {
 	service, found := m.cfg.Log.State().Services[name]
 	if !found || service.Record == nil {
@@ -134,17 +135,15 @@
 		return
 	}
 	ranks := m.ranks(service)
+	decides := rankOf(ranks, m.cfg.Node) >= 0
 	report := m.cfg.Meter.Report(m.cfg.Node, service)
 	m.Take(report)
-	m.send(ctx, service, ranks, report)
-	if rankOf(ranks, m.cfg.Node) < 0 {
-		return
-	}
-	if m.cfg.Policy != PolicyClock && m.condemn(service) {
+	if decides && m.cfg.Policy != PolicyClock && m.condemn(service) {
 		m.recordVerdict(ctx, service)
 		return
 	}
-	if mayStep && m.leads(service, ranks) {
+	m.send(ctx, service, ranks, report)
+	if decides && mayStep && m.leads(service, ranks) {
 		m.step(ctx, service)
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -123,3 +123,21 @@
 	require.Error(t, err)
 	require.Less(t, time.Since(started), 2*time.Second)
 }
+
+// A conversation with a frozen node ends with its caller's deadline, long before the node is known to be frozen.
+func TestCloseEndsAReadOfAFrozenNode(t *testing.T) {
+	const deadline = 100 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	p := newPool(t)
+	stream, err := p.Open(t.Context(), netip.MustParseAddrPort(listener.Addr().String()))
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { _ = stream.Close() })()
+	started := time.Now()
+	_, err = stream.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Less(t, time.Since(started), 4*deadline)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -74,12 +74,13 @@
 	ended   atomic.Bool
 }
 
-// Close ends the stream.
+// Close ends the stream and a read that waits on it: yamux alone lets reads go on until the other side closes too.
 func (s *Stream) Close() error {
 	if s.ended.Swap(true) {
 		return nil
 	}
 	s.session.inFlight.Add(-1)
+	_ = s.SetReadDeadline(time.Unix(0, 1))
 	return s.Conn.Close()
 }
 
