Draw a small share from short slices, with controls of the same moment

KNOWN-RED: "failing when two calls meet" was taken back 10 s after its first failure, or not in 14 s; bound 2 s. Cause: a share of 1 to 5% drawn call by call seldom puts two calls on one upstream at a time, so a fault that needs them shows in about one call of a hundred, and evidence for it comes slower than the bound. Change: shares up to 10% are drawn from one slice of each 1.013 s, twice as long as the share; by lot half of its calls go to the new version, half are controls that stay with the old one and are compared with in that second. New: TestDrawGivesTheShare, TestSlicesAreShortAndMove, TestJudgeComparesWithControls, two weakenings. The slow version under the default cold start stays known red.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -72,7 +72,7 @@
 	}
 	r.cfg.Observe(Observation{
 		Service: u.service, Version: u.version, Route: head.GetRoute(),
-		Result: result, Took: took, Cold: cold,
+		Result: result, Took: took, Cold: cold, Control: head.GetControl(),
 	})
 }
 
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -52,6 +52,8 @@
 	Took    time.Duration
 	// Cold says that the upstream was in its cold start.
 	Cold bool
+	// Control says that the call went to the old version by lot.
+	Control bool
 }
 
 // Config configures a Registry.
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -37,7 +37,7 @@
 }
 
 func newRouteView(from, to []showing) *routeView {
-	r := &routeView{from: history{}, to: history{}}
+	r := &routeView{from: history{}, to: history{}, control: history{}}
 	for i, s := range from {
 		r.from[int64(i)] = s.counts()
 	}
@@ -90,6 +90,28 @@
 	}
 }
 
+// A disturbance of a moment that meets the slice of the second shows in the controls, hardly in the whole second.
+func TestJudgeComparesWithControls(t *testing.T) {
+	disturbed := showing{calls: 100, slow: 10, failures: 10}
+	tests := []struct {
+		name    string
+		control showing
+		bad     bool
+	}{
+		{"the controls met it too", showing{calls: 10, slow: 10, failures: 10}, false},
+		{"the controls were well", showing{calls: 10}, true},
+		{"too few controls", showing{calls: 1, slow: 1, failures: 1}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRouteView(append(seconds(9, showing{calls: 100}), disturbed), append(seconds(9, showing{}), showing{calls: 10, slow: 10, failures: 10}))
+			r.control[9] = tt.control.counts()
+			found := r.judge("r", nil)
+			require.Equal(t, tt.bad, found.weight >= condemnAt, "weight %.1f: %s", found.weight, found.reason)
+		})
+	}
+}
+
 func TestLocalAlarm(t *testing.T) {
 	baseline := &wirepb.RouteBaseline{Calls: 1000, Slow: durationpb.New(10 * time.Millisecond)}
 	tests := []struct {
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -23,6 +23,8 @@
 type routeView struct {
 	from history
 	to   history
+	// control holds those of the old version's calls that went to it by lot.
+	control history
 	// toTotal is the number of calls of the new version since the declaration.
 	toTotal uint64
 	samples []uint32
@@ -44,7 +46,7 @@
 func (v view) add(record *wirepb.MoveRecord, key seriesKey, s *nodeSeries) {
 	route, found := v[key.route]
 	if !found {
-		route = &routeView{from: history{}, to: history{}}
+		route = &routeView{from: history{}, to: history{}, control: history{}}
 		v[key.route] = route
 	}
 	target := route.from
@@ -59,6 +61,9 @@
 	}
 	for second, c := range s.seconds {
 		target.add(second, c)
+		if key.control {
+			route.control.add(second, c)
+		}
 	}
 }
 
@@ -106,7 +111,7 @@
 func (n *nodeEvidence) take(report *wirepb.EvidenceReport, now time.Time) {
 	n.at = now
 	for _, evidence := range report.GetRoutes() {
-		key := seriesKey{route: evidence.GetRoute(), version: evidence.GetVersion()}
+		key := seriesKey{route: evidence.GetRoute(), version: evidence.GetVersion(), control: evidence.GetControl()}
 		s, found := n.series[key]
 		if !found {
 			s = &nodeSeries{seconds: history{}}
@@ -161,7 +166,7 @@
 	slices.Sort(seconds)
 	worst, sum := finding{route: name}, weights{}
 	for _, second := range slices.Backward(seconds) {
-		sum.add(r.to[second], expected(r.from[second], overall))
+		sum.add(r.to[second], expected(r.comparable(second), overall))
 		if reason, weight := sum.strongest(); weight > worst.weight {
 			worst.reason, worst.weight = "route "+name+" "+reason, weight
 		}
@@ -178,6 +183,14 @@
 	return sum
 }
 
+// comparable returns what the old version showed in a second: its controls met the same moments as the new version.
+func (r *routeView) comparable(second int64) counts {
+	if control := r.control[second]; control.calls >= minSecondCalls {
+		return control
+	}
+	return r.from[second]
+}
+
 // expected returns what the old version showed in a second, or overall when it had too few calls then.
 func expected(second, overall counts) counts {
 	if second.calls < minSecondCalls {
--- a/internal/move/meter.go
+++ b/internal/move/meter.go
@@ -44,6 +44,8 @@
 type seriesKey struct {
 	route   string
 	version string
+	// control says that the calls went to the old version by lot.
+	control bool
 }
 
 type series struct {
@@ -71,7 +73,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	meter := m.meterOf(service)
-	s := meter.seriesOf(seriesKey{route: o.Route, version: o.Version})
+	s := meter.seriesOf(seriesKey{route: o.Route, version: o.Version, control: o.Control})
 	if s == nil {
 		return false
 	}
@@ -179,7 +181,10 @@
 		if a.GetRoute() != b.GetRoute() {
 			return a.GetRoute() < b.GetRoute()
 		}
-		return a.GetVersion() < b.GetVersion()
+		if a.GetVersion() != b.GetVersion() {
+			return a.GetVersion() < b.GetVersion()
+		}
+		return !a.GetControl() && b.GetControl()
 	})
 	return report
 }
--- /dev/null
+++ b/internal/move/slice_test.go
@@ -0,0 +1,64 @@
+package move
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	sliceTime = 300 * time.Second
+	sliceStep = 737 * time.Microsecond
+)
+
+func sliceService(share uint32) *tree.Service {
+	return &tree.Service{Name: "shop", Stable: "v1", Record: &wirepb.MoveRecord{
+		Service: "shop", From: "v1", To: "v2", State: wirepb.MoveState_MOVE_STATE_RUNNING, SharePermille: share,
+	}}
+}
+
+// drawAll draws many times and returns the number of calls in each group.
+func drawAll(share uint32) map[Group]int {
+	verdicts, service, drawn := NewVerdicts(), sliceService(share), map[Group]int{}
+	start := time.Unix(1_800_000_000, 0)
+	for at := time.Duration(0); at < sliceTime; at += sliceStep {
+		drawn[verdicts.Draw(service, start.Add(at))]++
+	}
+	return drawn
+}
+
+func TestDrawGivesTheShare(t *testing.T) {
+	const all = float64(sliceTime / sliceStep)
+	for _, share := range []uint32{0, 10, 50, 100, 200, 500, fullShare} {
+		drawn, wanted := drawAll(share), 1+all*float64(share)/fullShare
+		require.InEpsilon(t, wanted, 1+drawn[GroupNew], 0.1, "share %d", share)
+		if share > maxSliced {
+			require.Zero(t, drawn[GroupControl])
+		} else {
+			require.InEpsilon(t, wanted, 1+drawn[GroupControl], 0.1, "share %d", share)
+		}
+	}
+}
+
+func TestSlicesAreShortAndMove(t *testing.T) {
+	const share = 20
+	start, places, taken := time.Unix(1_800_000_000, 0), map[time.Duration]bool{}, 0
+	for at := time.Duration(0); at < sliceTime; at += sliceStep {
+		if inSlice("shop", share, start.Add(at)) {
+			taken++
+			places[at%time.Second/(20*time.Millisecond)] = true
+		}
+	}
+	require.InEpsilon(t, float64(sliceTime/sliceStep)*share/fullShare, taken, 0.02)
+	require.Len(t, places, 50, "the slices come to each part of the second")
+}
+
+func TestCondemnedVersionIsNotDrawn(t *testing.T) {
+	verdicts, service := NewVerdicts(), sliceService(fullShare)
+	verdicts.Merge(&wirepb.Verdict{Service: "shop", Version: "v2"})
+	require.Equal(t, GroupRest, verdicts.Draw(service, time.Unix(1, 0)))
+}
--- a/internal/move/window.go
+++ b/internal/move/window.go
@@ -102,7 +102,7 @@
 // evidence returns the newest seconds, and service times as long as the deciders need them.
 func (w *window) evidence(now time.Time, key seriesKey, withSamples bool) *wirepb.RouteEvidence {
 	w.seconds.trim(now)
-	evidence := &wirepb.RouteEvidence{Route: key.route, Version: key.version, TotalCalls: w.total}
+	evidence := &wirepb.RouteEvidence{Route: key.route, Version: key.version, Control: key.control, TotalCalls: w.total}
 	if withSamples {
 		evidence.SamplesMicros = append([]uint32(nil), w.samples[:min(w.sampled, sampleCount)]...)
 	}
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/move"
 	"github.com/turmericdale/turmericdale/internal/peer"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -16,7 +16,6 @@
 const (
 	maxAttempts  = 4
 	frameReserve = 128 << 10
-	fullShare    = 1000
 	trialFactor  = 10
 	minTrialTime = 150 * time.Millisecond
 )
@@ -24,7 +23,9 @@
 // run tries upstreams until one answers or no further try is allowed.
 func (p *Proxy) run(ctx context.Context, c *call) *wirepb.AnswerHead {
 	p.budget.earn(c.route.Service.Name)
-	toNew := rand.Uint32N(fullShare) < p.cfg.Verdicts.Share(c.route.Service)
+	group := p.cfg.Verdicts.Draw(c.route.Service, p.cfg.Now())
+	toNew := group == move.GroupNew
+	c.head.Control = group == move.GroupControl
 	var ran *wirepb.AnswerHead
 	for attempt := 1; ; attempt++ {
 		answer := &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
@@ -43,7 +44,7 @@
 		if answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
 			ran = answer
 		}
-		toNew = false
+		toNew, c.head.Control = false, false
 		p.cfg.Retried()
 	}
 }
--- a/test/proof/move_test.go
+++ b/test/proof/move_test.go
@@ -40,30 +40,8 @@
 	}
 }
 
-// shownAt returns the end of the first second in which a fault that shows rarely told the version from the old one:
-// three failures and one call in twenty.
-func shownAt(ledgers []emul.Ledger) int64 {
-	const failures, everyth = 3, 20
-	seconds := map[int64]emul.SecondLedger{}
-	for _, l := range ledgers {
-		for second, s := range l.Seconds {
-			sum := seconds[second]
-			seconds[second] = emul.SecondLedger{Calls: sum.Calls + s.Calls, Faulty: sum.Faulty + s.Faulty}
-		}
-	}
-	first := int64(0)
-	for second, s := range seconds {
-		end := time.Unix(second+1, 0).UnixMilli()
-		if s.Faulty >= failures && s.Faulty*everyth >= s.Calls && (first == 0 || end < first) {
-			first = end
-		}
-	}
-	return first
-}
-
-// requireNoLateCalls checks that no call reached the bad version long after its first faulty answer, or, for a fault
-// that shows rarely, after the first second that told it from the old version.
-func (d *deployment) requireNoLateCalls(rare bool) {
+// requireNoLateCalls checks that no call reached the bad version long after its first faulty answer.
+func (d *deployment) requireNoLateCalls() {
 	d.t.Helper()
 	first, last, calls := int64(0), int64(0), int64(0)
 	for _, l := range d.ledgers("v2") {
@@ -74,13 +52,6 @@
 		calls += l.Calls
 	}
 	require.NotZero(d.t, first, "the fault never showed")
-	if rare {
-		first = shownAt(d.ledgers("v2"))
-		if first == 0 {
-			d.t.Logf("taken back after %d calls, before a second told it from the old version", calls)
-			return
-		}
-	}
 	d.t.Logf("%d calls reached the bad version, the last one %d ms after the first fault", calls, last-first)
 	require.LessOrEqual(d.t, time.Duration(last-first)*time.Millisecond, maxAfterFault)
 }
@@ -167,8 +138,6 @@
 		fault emul.Fault
 		// atOnce says that the bound on the share of calls applies.
 		atOnce bool
-		// rare says that the fault shows in few calls at first.
-		rare bool
 		// loads replace the usual ones.
 		loads []emul.Load
 		// prepare runs before the new version starts.
@@ -189,7 +158,7 @@
 		{name: "hanging", fault: emul.Fault{Kind: emul.FaultHanging}, atOnce: true},
 		{name: "failing late", fault: emul.Fault{Kind: emul.FaultFailing, After: 6 * time.Second}},
 		{
-			name: "failing under load", fault: emul.Fault{Kind: emul.FaultFailing, OverLoad: 2}, rare: true,
+			name: "failing under load", fault: emul.Fault{Kind: emul.FaultFailing, OverLoad: 2},
 			loads: []emul.Load{{Path: "/shop", Rate: 800}, {Path: "/shop/detail", Rate: 200}},
 		},
 		{
@@ -229,7 +198,7 @@
 			d.awaitState(moveTime+4*time.Second, wirepb.MoveState_MOVE_STATE_TAKEN_BACK)
 			events := wait()
 			d.requireHistory(events)
-			d.requireNoLateCalls(tt.rare)
+			d.requireNoLateCalls()
 			t.Logf("share of the bad version: %.2f%%, callers: %+v", 100*badShare(d), emul.NewReport(events))
 			if tt.atOnce {
 				require.LessOrEqual(t, badShare(d), maxBadShare)
