Learn a cold start from the old version's upstreams

Cause: without `cold_start` 3 s of slow answers were no fault, whatever the service is like. The same constant took back a good version with a longer cold start. Change: nodes keep the mean times of the first 10 s of calls of upstreams that were seen from their start (announcements tell the uptime); deciders share the longest time in which those of the old version were slow, and the new one gets half as long again. Nothing seen: 3 s as before. Since a cold start can also pass by itself, a new upstream without a declared cold start gets no call of a running move in its first 3 s. The registry no longer judges coldness, the meter does. Not covered: cold starts that last a number of calls, not a time.

--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -18,6 +18,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -100,12 +101,13 @@
 	reported   int64
 	reportedAt time.Time
 	first      time.Time
+	started    time.Time
 	ledger     Ledger
 }
 
 // NewUpstream returns an upstream that is not yet serving.
 func NewUpstream(cfg UpstreamConfig) *Upstream {
-	u := &Upstream{cfg: cfg, ledger: Ledger{
+	u := &Upstream{cfg: cfg, started: time.Now(), ledger: Ledger{
 		Service: cfg.Service, Version: cfg.Version, Requests: map[string]int{}, Keys: map[string]int{}, Seconds: map[int64]SecondLedger{},
 	}}
 	u.crashed, u.crash = context.WithCancel(context.Background())
@@ -211,6 +213,7 @@
 	body, err := protojson.Marshal(&wirepb.Announcement{
 		Service: u.cfg.Service, Version: u.cfg.Version, Address: u.cfg.Address.String(),
 		Slots: uint32(u.cfg.Slots), Connections: uint32(u.cfg.Connections), Leaving: leaving,
+		Uptime: durationpb.New(time.Since(u.started)),
 	})
 	if err != nil {
 		return
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -32,21 +32,21 @@
 	if u == nil {
 		return notRun(head, wirepb.Refusal_REFUSAL_NO_UPSTREAM)
 	}
-	if refusal := r.cfg.Forbid(u.service, u.version, u.gate.Running()); refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
+	if refusal := r.cfg.Forbid(u.exposure(r.cfg.Now())); refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
 		return notRun(head, refusal)
 	}
 	if err := u.gate.Acquire(ctx, head.GetClass()); err != nil {
 		return refused(head, u, err)
 	}
 	started := r.cfg.Now()
-	cold := u.cold(started, r.cfg.ColdStart(u.service))
+	age := u.age(started)
 	answer, result := u.run(ctx, head, r.cfg.MaxBodyBytes)
 	took := r.cfg.Now().Sub(started)
 	u.gate.Release(took)
 	if result == ResultFailed && answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && r.silent(u) {
 		result = ResultUnjudged
 	}
-	r.observe(u, head, result, took, cold)
+	r.observe(u, head, result, took, age)
 	answer.CallId = head.GetCallId()
 	answer.LoadPermille = u.gate.LoadPermille()
 	return answer
@@ -66,13 +66,13 @@
 	return answer
 }
 
-func (r *Registry) observe(u *upstream, head *wirepb.CallHead, result Result, took time.Duration, cold bool) {
+func (r *Registry) observe(u *upstream, head *wirepb.CallHead, result Result, took, age time.Duration) {
 	if result == ResultUnjudged {
 		return
 	}
 	r.cfg.Observe(Observation{
 		Service: u.service, Version: u.version, Route: head.GetRoute(),
-		Result: result, Took: took, Cold: cold, Control: head.GetControl(),
+		Result: result, Took: took, Age: age, Fresh: u.fresh, Control: head.GetControl(),
 	})
 }
 
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -33,10 +33,9 @@
 	f := &fixture{address: address, observed: make(chan Observation, 100)}
 	f.Registry = New(Config{
 		Logger: zap.NewNop(), Now: time.Now, QueueFactor: 1, MaxBodyBytes: maxBody,
-		ColdStart: func(string) time.Duration { return 0 },
-		Forbid:    func(string, string, int) wirepb.Refusal { return f.forbid },
-		Observe:   func(o Observation) { f.observed <- o },
-		Changed:   func([]*wirepb.MemberUpstream) {},
+		Forbid:  func(Exposure) wirepb.Refusal { return f.forbid },
+		Observe: func(o Observation) { f.observed <- o },
+		Changed: func([]*wirepb.MemberUpstream) {},
 	})
 	require.NoError(t, f.Announce(f.announcement()))
 	return f
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -50,12 +50,24 @@
 	Route   string
 	Result  Result
 	Took    time.Duration
-	// Cold says that the upstream was in its cold start.
-	Cold bool
+	// Age is the time since the upstream's first call.
+	Age time.Duration
+	// Fresh says that the upstream's first call was seen.
+	Fresh bool
 	// Control says that the call went to the old version by lot.
 	Control bool
 }
 
+// Exposure is what a call would add to.
+type Exposure struct {
+	Service string
+	Version string
+	// InFlight is the number of calls that the upstream runs.
+	InFlight int
+	// Uptime is the time since the upstream started, or unknownUptime.
+	Uptime time.Duration
+}
+
 // Config configures a Registry.
 type Config struct {
 	Logger *zap.Logger
@@ -64,10 +76,8 @@
 	QueueFactor int
 	// MaxBodyBytes bounds an answer.
 	MaxBodyBytes int64
-	// ColdStart returns how long an upstream of a service may be slow after its first call.
-	ColdStart func(service string) time.Duration
 	// Forbid returns why a version gets no call now, or unspecified.
-	Forbid func(service, version string, inFlight int) wirepb.Refusal
+	Forbid func(exposure Exposure) wirepb.Refusal
 	// Observe takes what each call showed.
 	Observe func(observation Observation)
 	// Changed is called with the upstreams that take calls after they changed.
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +19,9 @@
 	idleTimeout    = 5 * time.Minute
 	warmTimeout    = 2 * time.Second
 	probeTimeout   = 250 * time.Millisecond
+	// freshTime is the uptime below which an upstream cannot have had calls through an earlier life of this node.
+	freshTime     = 10 * time.Second
+	unknownUptime = math.MaxInt64
 )
 
 // upstream is one upstream beside this node; leaving, left and heard are guarded by the registry.
@@ -31,6 +35,10 @@
 	left        time.Time
 	heard       time.Time
 
+	// started is the time when the upstream started, or zero when it does not tell.
+	started time.Time
+	// fresh says that the upstream had no call before its first announcement here.
+	fresh     bool
 	gate      *admit.Gate
 	transport *http.Transport
 	// firstCall is the time of the first call in nanoseconds, or 0.
@@ -54,6 +62,10 @@
 			DisableCompression:  true,
 		},
 	}
+	if uptime := a.GetUptime(); uptime != nil {
+		u.started = cfg.Now().Add(-uptime.AsDuration())
+		u.fresh = uptime.AsDuration() < freshTime
+	}
 	go u.warm()
 	return u
 }
@@ -82,10 +94,18 @@
 	wait.Wait()
 }
 
-// cold reports whether the upstream is still in its cold start, and starts it with the first call.
-func (u *upstream) cold(now time.Time, coldStart time.Duration) bool {
+func (u *upstream) exposure(now time.Time) Exposure {
+	e := Exposure{Service: u.service, Version: u.version, InFlight: u.gate.Running(), Uptime: unknownUptime}
+	if !u.started.IsZero() {
+		e.Uptime = now.Sub(u.started)
+	}
+	return e
+}
+
+// age returns the time since the upstream's first call, which this may be.
+func (u *upstream) age(now time.Time) time.Duration {
 	u.firstCall.CompareAndSwap(0, now.UnixNano())
-	return now.UnixNano()-u.firstCall.Load() < int64(coldStart)
+	return time.Duration(now.UnixNano() - u.firstCall.Load())
 }
 
 // accepts reports whether the upstream's address takes connections.
--- a/internal/move/forbid.go
+++ b/internal/move/forbid.go
@@ -1,6 +1,9 @@
 package move
 
 import (
+	"time"
+
+	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -9,18 +12,18 @@
 const firstExposure = 2
 
 // Forbid returns why a version of a service gets no call beside this node, whatever the node of the caller believes.
-func Forbid(service *tree.Service, version string, inFlight int, verdicts *Verdicts, alarmed bool) wirepb.Refusal {
+func Forbid(service *tree.Service, exposure local.Exposure, verdicts *Verdicts, alarmed bool) wirepb.Refusal {
 	if service == nil {
 		return wirepb.Refusal_REFUSAL_NO_UPSTREAM
 	}
 	if service.Record == nil {
-		return allowOnly(version == service.Stable)
+		return allowOnly(exposure.Version == service.Stable)
 	}
 	record := service.Record
-	if version == record.GetFrom() {
+	if exposure.Version == record.GetFrom() {
 		return wirepb.Refusal_REFUSAL_UNSPECIFIED
 	}
-	if version != record.GetTo() {
+	if exposure.Version != record.GetTo() {
 		return wirepb.Refusal_REFUSAL_EXPOSURE
 	}
 	switch {
@@ -31,10 +34,17 @@
 	case alarmed, record.GetSharePermille() == 0:
 		return wirepb.Refusal_REFUSAL_EXPOSURE
 	default:
-		return allowOnly(record.GetStep() > 0 || inFlight < firstExposure)
+		return allowOnly(settled(service, exposure.Uptime) && (record.GetStep() > 0 || exposure.InFlight < firstExposure))
 	}
 }
 
+// settled reports whether an upstream may take calls of a running move: unless its cold start is declared, it first has
+// some time for what it does by itself when it starts.
+func settled(service *tree.Service, uptime time.Duration) bool {
+	running := service.Record.GetState() == wirepb.MoveState_MOVE_STATE_RUNNING
+	return !running || service.ColdStart >= 0 || uptime >= unseenColdStart
+}
+
 func allowOnly(allowed bool) wirepb.Refusal {
 	if allowed {
 		return wirepb.Refusal_REFUSAL_UNSPECIFIED
--- a/internal/move/judge.go
+++ b/internal/move/judge.go
@@ -28,6 +28,8 @@
 	// toTotal is the number of calls of the new version since the declaration.
 	toTotal uint64
 	samples []uint32
+	// coldStart is the longest one that the old version showed, or nil when none was seen.
+	coldStart *durationpb.Duration
 }
 
 // view is what all nodes together know of a moving service, by route.
@@ -53,6 +55,7 @@
 	switch key.version {
 	case record.GetFrom():
 		route.samples = append(route.samples, s.samples...)
+		route.coldStart = longer(route.coldStart, s.coldStart)
 	case record.GetTo():
 		target = route.to
 		route.toTotal += s.total
@@ -105,6 +108,8 @@
 	seconds history
 	samples []uint32
 	total   uint64
+	// coldStart is nil when the node saw none.
+	coldStart *durationpb.Duration
 }
 
 // take replaces the seconds that a report carries: a report that comes twice or late does no harm.
@@ -121,6 +126,7 @@
 		if len(evidence.GetSamplesMicros()) > 0 {
 			s.samples = evidence.GetSamplesMicros()
 		}
+		s.coldStart = longer(s.coldStart, evidence.GetColdStart())
 		for _, c := range evidence.GetSeconds() {
 			s.seconds[c.GetSecond()] = decodeCounts(c)
 		}
@@ -254,6 +260,7 @@
 	baseline := &wirepb.RouteBaseline{
 		Route: name, Calls: uint32(sum.calls), FailureRate: sum.failureRate(),
 		ShedRate: sum.shedRate(), SlowRate: sum.slowRate(), Slow: known.GetSlow(),
+		ColdStart: longer(known.GetColdStart(), r.coldStart),
 	}
 	// The threshold stays for the whole move, so that a slowdown of both versions shows in both.
 	if baseline.Slow == nil && len(r.samples) >= minBaselineCalls {
--- a/internal/move/meter.go
+++ b/internal/move/meter.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -53,6 +55,7 @@
 	failing  cumulative
 	slow     cumulative
 	shedding cumulative
+	early    early
 }
 
 // NewMeter returns an empty meter.
@@ -78,7 +81,7 @@
 		return false
 	}
 	baseline := meter.baselines[o.Route]
-	c := classify(o, baseline)
+	c := classify(o, baseline, allowedColdStart(service, baseline))
 	if c.calls == 0 {
 		return false
 	}
@@ -86,6 +89,7 @@
 	s.window.add(now, c)
 	if o.Result == local.ResultOK {
 		s.window.sample(o.Took)
+		s.early.add(o)
 	}
 	if !service.Moving() || o.Version != service.Record.GetTo() || !s.suspicious(c, baseline) {
 		return false
@@ -96,8 +100,8 @@
 	return first
 }
 
-func classify(o local.Observation, baseline *wirepb.RouteBaseline) counts {
-	c := counts{calls: 1}
+func classify(o local.Observation, baseline *wirepb.RouteBaseline, coldStart time.Duration) counts {
+	c, cold := counts{calls: 1}, o.Age < coldStart
 	late := baseline.GetSlow() != nil && o.Took > baseline.GetSlow().AsDuration()
 	switch o.Result {
 	case local.ResultFailed:
@@ -105,11 +109,11 @@
 	case local.ResultShed:
 		c.sheds = 1
 	case local.ResultAbandoned:
-		if !late || o.Cold {
+		if !late || cold {
 			return counts{}
 		}
 	}
-	if baseline.GetSlow() != nil && !o.Cold && c.sheds == 0 {
+	if baseline.GetSlow() != nil && !cold && c.sheds == 0 {
 		c.warm = 1
 		if late {
 			c.slow = 1
@@ -173,8 +177,12 @@
 		Alarmed: now.Sub(meter.alarmed) < alarmTime,
 	}
 	for key, s := range meter.series {
-		known := meter.baselines[key.route].GetSlow() != nil
-		report.Routes = append(report.Routes, s.window.evidence(now, key, !known))
+		slow := meter.baselines[key.route].GetSlow()
+		evidence := s.window.evidence(now, key, slow == nil)
+		if coldStart, found := s.early.coldStart(slow.AsDuration()); slow != nil && found {
+			evidence.ColdStart = durationpb.New(coldStart)
+		}
+		report.Routes = append(report.Routes, evidence)
 	}
 	sort.Slice(report.Routes, func(i, j int) bool {
 		a, b := report.Routes[i], report.Routes[j]
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -118,17 +118,11 @@
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Observe: evidence.Observe,
-		ColdStart: func(service string) time.Duration {
-			if known, found := log.State().Services[service]; found {
-				return known.ColdStart
-			}
-			return 0
-		},
-		Forbid: func(service, version string, inFlight int) wirepb.Refusal {
+		Forbid: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
 			}
-			return move.Forbid(log.State().Services[service], version, inFlight, verdicts, evidence.Alarmed(service))
+			return move.Forbid(log.State().Services[exposure.Service], exposure, verdicts, evidence.Alarmed(exposure.Service))
 		},
 		Changed: func(upstreams []*wirepb.MemberUpstream) {
 			members.Update(func(record *wirepb.MemberRecord) { record.Upstreams = upstreams })
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -57,9 +57,8 @@
 	t.Cleanup(pool.Close)
 	registry := local.New(local.Config{
 		Logger: zap.NewNop(), Now: time.Now, QueueFactor: 1, MaxBodyBytes: 1 << 16,
-		ColdStart: func(string) time.Duration { return 0 },
-		Forbid:    func(string, string, int) wirepb.Refusal { return wirepb.Refusal_REFUSAL_UNSPECIFIED },
-		Observe:   func(local.Observation) {}, Changed: func([]*wirepb.MemberUpstream) {},
+		Forbid:  func(local.Exposure) wirepb.Refusal { return wirepb.Refusal_REFUSAL_UNSPECIFIED },
+		Observe: func(local.Observation) {}, Changed: func([]*wirepb.MemberUpstream) {},
 	})
 	require.NoError(t, registry.Announce(&wirepb.Announcement{
 		Service: "shop", Version: "v1", Address: upstream.Listener.Addr().String(), Slots: 4, Connections: 4,
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -36,7 +36,7 @@
 func (s *State) newService(path Path, setting *wirepb.ServiceSetting) *Service {
 	service := &Service{
 		Name: path.Name, Team: path.Team, Stable: setting.GetVersion(),
-		ColdStart: durationOr(setting.GetColdStart(), defaultColdStart),
+		ColdStart: durationOr(setting.GetColdStart(), undeclaredColdStart),
 	}
 	if e, found := s.entries[RecordPath(path.Name)]; found {
 		service.Record, _ = e.value.(*wirepb.MoveRecord)
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -15,8 +15,9 @@
 
 // Service is a service as the nodes run it.
 type Service struct {
-	Name      string
-	Team      string
+	Name string
+	Team string
+	// ColdStart is how long an upstream may be slow after its first call, as declared, or negative.
 	ColdStart time.Duration
 	// Stable is the version that takes the calls that no move takes.
 	Stable string
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -15,20 +15,21 @@
 )
 
 const (
-	maxValueBytes    = 16 << 10
-	maxTokens        = 8
-	tokenHashBytes   = 32
-	maxColdStart     = 10 * time.Minute
-	minTimeout       = 10 * time.Millisecond
-	maxTimeout       = 5 * time.Minute
-	minWatch         = time.Second
-	maxWatch         = 24 * time.Hour
-	minStepCalls     = 3
-	maxStepCalls     = 10000
-	defaultTimeout   = 5 * time.Second
-	defaultColdStart = 3 * time.Second
-	defaultWatch     = 30 * time.Second
-	defaultStepCalls = 20
+	maxValueBytes  = 16 << 10
+	maxTokens      = 8
+	tokenHashBytes = 32
+	maxColdStart   = 10 * time.Minute
+	minTimeout     = 10 * time.Millisecond
+	maxTimeout     = 5 * time.Minute
+	minWatch       = time.Second
+	maxWatch       = 24 * time.Hour
+	minStepCalls   = 3
+	maxStepCalls   = 10000
+	defaultTimeout = 5 * time.Second
+	// undeclaredColdStart stands for a cold start that is learned from the old version.
+	undeclaredColdStart = -1
+	defaultWatch        = 30 * time.Second
+	defaultStepCalls    = 20
 )
 
 var (
--- a/test/proof/deploy_test.go
+++ b/test/proof/deploy_test.go
@@ -132,6 +132,15 @@
 	d.nodes[v.Node] = cmd
 }
 
+// replaceUpstream stops the first version's upstream beside a node and starts another one in its place.
+func (d *deployment) replaceUpstream(v emul.VM, cfg emul.UpstreamConfig) {
+	d.t.Helper()
+	old := d.upstreams[v.Upstream(0)]
+	old.stop()
+	<-old.done
+	d.startUpstreamOf(v, cfg)
+}
+
 // startUpstreamOf starts an upstream of the first version beside a node, and of another version on another port.
 func (d *deployment) startUpstreamOf(v emul.VM, cfg emul.UpstreamConfig) *runningUpstream {
 	cfg.Service, cfg.Node, cfg.Address = v.Service, v.Announce(), v.Upstream(1)
--- a/test/proof/move_test.go
+++ b/test/proof/move_test.go
@@ -132,6 +132,28 @@
 	}
 }
 
+// A cold start that was not declared is learned from the old version's upstreams, also when it is longer than the time
+// that is allowed without that.
+func TestColdStartIsNoFault(t *testing.T) {
+	t.Parallel()
+	const coldStart, coldDelay = 5 * time.Second, 60 * time.Millisecond
+	d := start(t)
+	d.change("/teams/shop/services/shop", `{"version": "v1"}`)
+	for _, v := range d.vms {
+		if v.Service == "shop" {
+			d.replaceUpstream(v, emul.UpstreamConfig{ColdStart: coldStart, ColdDelay: coldDelay})
+		}
+	}
+	d.awaitRoutes()
+	wait := d.call(coldStart+2*moveTime+3*time.Second, shopLoads...)
+	time.Sleep(coldStart + time.Second)
+	d.newVersion(emul.UpstreamConfig{ColdStart: coldStart, ColdDelay: coldDelay})
+	d.declare(moveTime + coldStart)
+	d.awaitState(moveTime+coldStart, wirepb.MoveState_MOVE_STATE_WATCHING)
+	d.awaitState(moveTime, wirepb.MoveState_MOVE_STATE_DONE)
+	d.requireHistory(wait())
+}
+
 func TestBadVersionIsTakenBack(t *testing.T) {
 	tests := []struct {
 		name  string
