Index only the upstreams of services that are asked for

Cause: 13.7 MB of member records at 23,000 nodes, of which the index of all services is a quarter, though a node calls few of them; each record also kept its own copy of names that thousands share. Change: the list of a service is built when it is first asked for and kept up to date from then on; records share the memory of regions, data centres, relays, services and versions.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -46,10 +46,12 @@
 
 	now func() time.Time
 
-	mu       sync.RWMutex
-	self     *wirepb.MemberRecord
-	records  map[string]*held
+	mu      sync.RWMutex
+	self    *wirepb.MemberRecord
+	records map[string]*held
+	// services holds the upstreams of the services that this node asked for; the others need no index.
 	services map[string][]*Upstream
+	names    *names
 	buckets  [Buckets]uint64
 }
 
@@ -63,7 +65,7 @@
 func New(cfg Config) *Table {
 	t := &Table{
 		Feed: news.New(), now: cfg.Now, self: cfg.Self,
-		records: map[string]*held{}, services: map[string][]*Upstream{},
+		records: map[string]*held{}, services: map[string][]*Upstream{}, names: newNames(),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -124,6 +126,7 @@
 }
 
 func (t *Table) store(record *wirepb.MemberRecord) {
+	t.names.share(record)
 	name := record.GetNode()
 	bucket := xxhash.Sum64String(name) % Buckets
 	previous := t.records[name]
@@ -147,7 +150,8 @@
 	return xxhash.Sum64(data)
 }
 
-// index rebuilds the lists of the services that a record had or has; readers keep the lists they took.
+// index rebuilds the lists of the services that a record had or has, if they are asked for; readers keep the lists they
+// took.
 func (t *Table) index(previous *held, record *wirepb.MemberRecord) {
 	services := map[string]bool{}
 	if previous != nil {
@@ -159,18 +163,23 @@
 		services[u.GetService()] = true
 	}
 	for service := range services {
-		list := withoutNode(t.services[service], record.GetNode())
-		list = append(list, upstreamsOf(record, service)...)
-		sort.Slice(list, func(i, j int) bool {
-			if list[i].Node != list[j].Node {
-				return list[i].Node < list[j].Node
-			}
-			return list[i].Version < list[j].Version
-		})
-		t.services[service] = list
+		if known, asked := t.services[service]; asked {
+			list := withoutNode(known, record.GetNode())
+			t.services[service] = ordered(append(list, upstreamsOf(record, service)...))
+		}
 	}
 }
 
+func ordered(list []*Upstream) []*Upstream {
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Node != list[j].Node {
+			return list[i].Node < list[j].Node
+		}
+		return list[i].Version < list[j].Version
+	})
+	return list
+}
+
 func withoutNode(list []*Upstream, node string) []*Upstream {
 	kept := make([]*Upstream, 0, len(list)+1)
 	for _, u := range list {
@@ -182,13 +191,15 @@
 }
 
 func upstreamsOf(record *wirepb.MemberRecord, service string) []*Upstream {
-	address, err := netip.ParseAddrPort(record.GetPeerAddress())
-	if err != nil || record.GetDown() {
+	if record.GetDown() {
 		return nil
 	}
 	var list []*Upstream
 	for _, u := range record.GetUpstreams() {
-		if u.GetService() == service {
+		if u.GetService() != service {
+			continue
+		}
+		if address, err := netip.ParseAddrPort(record.GetPeerAddress()); err == nil {
 			list = append(list, &Upstream{
 				Node: record.GetNode(), Life: record.GetLife(), Region: record.GetRegion(), DataCentre: record.GetDataCentre(),
 				PeerAddress: address, Version: u.GetVersion(), Slots: u.GetSlots(),
@@ -201,8 +212,21 @@
 // Upstreams returns the upstreams of a service, ordered by node and version; the list must not be changed.
 func (t *Table) Upstreams(service string) []*Upstream {
 	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return t.services[service]
+	list, asked := t.services[service]
+	t.mu.RUnlock()
+	if asked {
+		return list
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if list, asked = t.services[service]; asked {
+		return list
+	}
+	for _, h := range t.records {
+		list = append(list, upstreamsOf(h.record, service)...)
+	}
+	t.services[service] = ordered(list)
+	return list
 }
 
 // Record returns the record of a node, or nil.
@@ -289,4 +313,5 @@
 			delete(t.records, name)
 		}
 	}
+	t.names.forget()
 }
