--- a/internal/member/names_test.go
+++ b/internal/member/names_test.go
@@ -24,8 +24,11 @@
 	table.Merge([]*wirepb.MemberRecord{decoded("a"), decoded("b")})
 	a, b := table.Record("a"), table.Record("b")
 	for _, pair := range [][2]string{
-		{a.GetRegion(), b.GetRegion()}, {a.GetDataCentre(), b.GetDataCentre()}, {a.GetParents()[0], b.GetParents()[0]},
-		{a.GetUpstreams()[0].GetService(), b.GetUpstreams()[0].GetService()}, {a.GetUpstreams()[0].GetVersion(), b.GetUpstreams()[0].GetVersion()},
+		{a.GetRegion(), b.GetRegion()},
+		{a.GetDataCentre(), b.GetDataCentre()},
+		{a.GetParents()[0], b.GetParents()[0]},
+		{a.GetUpstreams()[0].GetService(), b.GetUpstreams()[0].GetService()},
+		{a.GetUpstreams()[0].GetVersion(), b.GetUpstreams()[0].GetVersion()},
 	} {
 		require.Equal(t, unsafe.StringData(pair[0]), unsafe.StringData(pair[1]), pair[0])
 	}
