Look for orphans without sorting all records

Cause: each relay copied and sorted all member records each second to find nodes that nobody watches: 8.9 ms at 23,000 records, 0.9% of a core of the 2.6% allowed; each node also walked all of them each second to forget old ones. Change: only the records of the own data centre and of lost ones are taken, in no order; forgetting is once a minute. TestLossOfBothRelaysOfADataCentre and the other proofs of lost nodes see the behaviour.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -255,6 +255,19 @@
 	return records
 }
 
+// Select returns the records that are wanted, in no order.
+func (t *Table) Select(wanted func(record *wirepb.MemberRecord) bool) []*wirepb.MemberRecord {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var records []*wirepb.MemberRecord
+	for _, h := range t.records {
+		if wanted(h.record) {
+			records = append(records, h.record)
+		}
+	}
+	return records
+}
+
 // Live returns the number of nodes that are not down.
 func (t *Table) Live() int {
 	t.mu.RLock()
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,8 @@
 	// lossGrace is how long a node may take to link anew before it counts as down.
 	lossGrace      = 2 * time.Second
 	orphanInterval = time.Second
+	// expireEvery is the number of checks for orphans between two that forget old records.
+	expireEvery = 60
 	// orphanGrace is how long a node may stay without any live parent before it counts as down.
 	orphanGrace = 6 * time.Second
 )
@@ -46,26 +49,24 @@
 // watchOrphans reports nodes whose watchers went down with them, as long as this node is a relay.
 func (h *Hub) watchOrphans(ctx context.Context) {
 	since := map[string]time.Time{}
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		if h.Relay() {
 			h.checkOrphans(since)
 		} else {
 			clear(since)
 		}
-		h.cfg.Members.Expire()
+		if round%expireEvery == 0 {
+			h.cfg.Members.Expire()
+		}
 		pause(ctx, orphanInterval)
 	}
 }
 
 func (h *Hub) checkOrphans(since map[string]time.Time) {
 	now := h.cfg.Now()
-	lostCentres := h.lostCentres(now)
-	for _, r := range h.cfg.Members.Records() {
-		name := r.GetNode()
-		if !h.orphaned(r, lostCentres) {
-			delete(since, name)
-			continue
-		}
+	orphans := h.orphans(h.lostCentres(now))
+	maps.DeleteFunc(since, func(name string, _ time.Time) bool { return orphans[name] == nil })
+	for name, r := range orphans {
 		if since[name].IsZero() {
 			since[name] = now
 		}
@@ -76,6 +77,20 @@
 	}
 }
 
+// orphans returns the records of nodes that nobody watches, by name.
+func (h *Hub) orphans(lostCentres map[string]bool) map[string]*wirepb.MemberRecord {
+	candidates := h.cfg.Members.Select(func(r *wirepb.MemberRecord) bool {
+		return !r.GetDown() && (r.GetDataCentre() == h.cfg.DataCentre || lostCentres[r.GetDataCentre()])
+	})
+	orphans := map[string]*wirepb.MemberRecord{}
+	for _, r := range candidates {
+		if h.orphaned(r, lostCentres) {
+			orphans[r.GetNode()] = r
+		}
+	}
+	return orphans
+}
+
 func (h *Hub) orphaned(record *wirepb.MemberRecord, lostCentres map[string]bool) bool {
 	if record.GetDown() || record.GetNode() == h.cfg.Node || h.linked(record.GetNode()) {
 		return false
