Allow three seconds of cold start at least, also when the old version showed none

Change: the learned time only lengthens the 3 s; the wait of 3 s before the first call, which went with it, is gone. TestColdStartIsNoFault stays.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -32,7 +32,7 @@
 	if u == nil {
 		return notRun(head, wirepb.Refusal_REFUSAL_NO_UPSTREAM)
 	}
-	if refusal := r.cfg.Forbid(u.exposure(r.cfg.Now())); refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
+	if refusal := r.cfg.Forbid(u.exposure()); refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
 		return notRun(head, refusal)
 	}
 	if err := u.gate.Acquire(ctx, head.GetClass()); err != nil {
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -64,8 +64,6 @@
 	Version string
 	// InFlight is the number of calls that the upstream runs.
 	InFlight int
-	// Uptime is the time since the upstream started, or unknownUptime.
-	Uptime time.Duration
 }
 
 // Config configures a Registry.
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,8 +19,7 @@
 	warmTimeout    = 2 * time.Second
 	probeTimeout   = 250 * time.Millisecond
 	// freshTime is the uptime below which an upstream cannot have had calls through an earlier life of this node.
-	freshTime     = 10 * time.Second
-	unknownUptime = math.MaxInt64
+	freshTime = 10 * time.Second
 )
 
 // upstream is one upstream beside this node; leaving, left and heard are guarded by the registry.
@@ -35,8 +33,6 @@
 	left        time.Time
 	heard       time.Time
 
-	// started is the time when the upstream started, or zero when it does not tell.
-	started time.Time
 	// fresh says that the upstream had no call before its first announcement here.
 	fresh     bool
 	gate      *admit.Gate
@@ -51,6 +47,7 @@
 	u := &upstream{
 		service: a.GetService(), version: a.GetVersion(), address: address,
 		slots: a.GetSlots(), connections: a.GetConnections(), heard: cfg.Now(),
+		fresh: a.GetUptime() != nil && a.GetUptime().AsDuration() < freshTime,
 		gate: admit.NewGate(admit.Config{
 			Slots: int(a.GetSlots()), Waiting: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
 		}),
@@ -62,10 +59,6 @@
 			DisableCompression:  true,
 		},
 	}
-	if uptime := a.GetUptime(); uptime != nil {
-		u.started = cfg.Now().Add(-uptime.AsDuration())
-		u.fresh = uptime.AsDuration() < freshTime
-	}
 	go u.warm()
 	return u
 }
@@ -94,12 +87,8 @@
 	wait.Wait()
 }
 
-func (u *upstream) exposure(now time.Time) Exposure {
-	e := Exposure{Service: u.service, Version: u.version, InFlight: u.gate.Running(), Uptime: unknownUptime}
-	if !u.started.IsZero() {
-		e.Uptime = now.Sub(u.started)
-	}
-	return e
+func (u *upstream) exposure() Exposure {
+	return Exposure{Service: u.service, Version: u.version, InFlight: u.gate.Running()}
 }
 
 // age returns the time since the upstream's first call, which this may be.
--- a/internal/move/early.go
+++ b/internal/move/early.go
@@ -15,8 +15,8 @@
 	earlyBucket  = 250 * time.Millisecond
 	// minEarlyCalls is the number of early calls from which a cold start is learned.
 	minEarlyCalls = 10
-	// unseenColdStart is allowed when it was neither declared nor seen.
-	unseenColdStart = 3 * time.Second
+	// minColdStart is allowed at least, unless another one is declared.
+	minColdStart = 3 * time.Second
 	// coldStartMargin is the allowed cold start in multiples of the one seen.
 	coldStartMargin = 1.5
 )
@@ -58,16 +58,13 @@
 }
 
 // allowedColdStart returns how long after its first call an upstream may be slow on a route: as declared, else as long
-// as the old version's upstreams were.
+// as the old version's upstreams were and some time more, since a new version may have a cold start that they had not.
 func allowedColdStart(service *tree.Service, baseline *wirepb.RouteBaseline) time.Duration {
-	switch {
-	case service.ColdStart >= 0:
+	if service.ColdStart >= 0 {
 		return service.ColdStart
-	case baseline.GetColdStart() == nil:
-		return unseenColdStart
-	default:
-		return time.Duration(coldStartMargin * float64(baseline.GetColdStart().AsDuration()))
 	}
+	seen := coldStartMargin * float64(baseline.GetColdStart().AsDuration())
+	return max(time.Duration(seen), minColdStart)
 }
 
 func longer(a, b *durationpb.Duration) *durationpb.Duration {
--- a/internal/move/forbid.go
+++ b/internal/move/forbid.go
@@ -1,8 +1,6 @@
 package move
 
 import (
-	"time"
-
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -34,17 +32,10 @@
 	case alarmed, record.GetSharePermille() == 0:
 		return wirepb.Refusal_REFUSAL_EXPOSURE
 	default:
-		return allowOnly(settled(service, exposure.Uptime) && (record.GetStep() > 0 || exposure.InFlight < firstExposure))
+		return allowOnly(record.GetStep() > 0 || exposure.InFlight < firstExposure)
 	}
 }
 
-// settled reports whether an upstream may take calls of a running move: unless its cold start is declared, it first has
-// some time for what it does by itself when it starts.
-func settled(service *tree.Service, uptime time.Duration) bool {
-	running := service.Record.GetState() == wirepb.MoveState_MOVE_STATE_RUNNING
-	return !running || service.ColdStart >= 0 || uptime >= unseenColdStart
-}
-
 func allowOnly(allowed bool) wirepb.Refusal {
 	if allowed {
 		return wirepb.Refusal_REFUSAL_UNSPECIFIED
