Confirm a failure of the new version with the next calls of its route

Cause: script/measure moves showed a version failing on one route (40 calls a second) reached for 4073 ms after its first failure: at a share of one or two per cent the next call of that route comes seconds later, and one failure is not enough. Ruled out: condemning on one failure (a crash of an upstream shows as one); stopping the calls until it is settled (what settles it are calls). Change: after a failed answer of the new version the caller's node sends it the next three calls of that route, if the route is idempotent, within 1.5 s and once in 10 s.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -23,7 +23,7 @@
 // run tries upstreams until one answers or no further try is allowed.
 func (p *Proxy) run(ctx context.Context, c *call) *wirepb.AnswerHead {
 	p.budget.earn(c.route.Service.Name)
-	group := p.cfg.Verdicts.Draw(c.route.Service, p.cfg.Now())
+	group := p.draw(c)
 	toNew := group == move.GroupNew
 	c.head.Control = group == move.GroupControl
 	var ran *wirepb.AnswerHead
@@ -34,6 +34,9 @@
 			c.tried[chosen.stats] = true
 			answer = p.attempt(ctx, c, chosen, toNew)
 		}
+		if toNew && c.route.Idempotent && answer.GetStatus() >= http.StatusInternalServerError {
+			p.confirms.begin(c.route, p.cfg.Now())
+		}
 		// A refusal of the last try says nothing of an earlier one that may have run.
 		if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && ran != nil {
 			answer = ran
@@ -49,6 +52,16 @@
 	}
 }
 
+// draw returns the group of a call; those that confirm a failure go to the new version as long as it has a share.
+func (p *Proxy) draw(c *call) move.Group {
+	now := p.cfg.Now()
+	group := p.cfg.Verdicts.Draw(c.route.Service, now)
+	if group != move.GroupNew && c.route.Idempotent && p.cfg.Verdicts.Share(c.route.Service) > 0 && p.confirms.take(c.route, now) {
+		return move.GroupNew
+	}
+	return group
+}
+
 // choose picks an upstream of the version that the call goes to; the earlier version serves when that has none.
 func (p *Proxy) choose(c *call, toNew bool) *choice {
 	service := c.route.Service
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -56,6 +56,7 @@
 type Proxy struct {
 	cfg      Config
 	budget   *budget
+	confirms *confirms
 	inFlight atomic.Int64
 	// prefix and calls make the ids of calls, unique over all lives of all nodes.
 	prefix string
@@ -64,7 +65,7 @@
 
 // New returns a proxy.
 func New(cfg Config) *Proxy {
-	return &Proxy{cfg: cfg, budget: newBudget(), prefix: uuid.NewString() + "-"}
+	return &Proxy{cfg: cfg, budget: newBudget(), confirms: newConfirms(), prefix: uuid.NewString() + "-"}
 }
 
 // InFlight returns the number of callers' requests that are being served.
