--- /dev/null
+++ b/internal/relay/changes.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"github.com/turmericdale/turmericdale/internal/chain"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	snapshotPart = 64 << 10
+	maxSnapshot  = 64 << 20
+	batchChanges = 64
+)
+
+// sendChanges sends what the other side lacks. What came from another relay goes to those of other data centres only
+// when it is due, if they have not told by then that they have it.
+func (l *link) sendChanges(due bool) error {
+	if l.far && !due && l.hub.spreads() {
+		return nil
+	}
+	for {
+		l.mu.Lock()
+		revision := l.revision
+		l.mu.Unlock()
+		changes, complete := l.hub.cfg.Log.Since(revision)
+		switch {
+		case !complete:
+			if err := l.sendSnapshot(); err != nil {
+				return err
+			}
+			continue
+		case len(changes) == 0:
+			return nil
+		}
+		changes = changes[:min(len(changes), batchChanges)]
+		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Changes{Changes: &wirepb.ChangeBatch{Changes: changes}}}); err != nil {
+			return err
+		}
+		l.advance(changes[len(changes)-1].GetRevision())
+	}
+}
+
+func (l *link) advance(revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = max(l.revision, revision)
+}
+
+func (l *link) sendSnapshot() error {
+	snapshot := l.hub.cfg.Log.State().Snapshot()
+	data, err := chain.EncodeSnapshot(snapshot)
+	if err != nil {
+		return err
+	}
+	for first := 0; first < len(data); first += snapshotPart {
+		last := min(first+snapshotPart, len(data))
+		part := &wirepb.SnapshotPart{Revision: snapshot.GetRevision(), Data: data[first:last], Last: last == len(data)}
+		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Snapshot{Snapshot: part}}); err != nil {
+			return err
+		}
+	}
+	l.advance(snapshot.GetRevision())
+	return nil
+}
+
+func (l *link) takeChanges(changes []*wirepb.Change) error {
+	if len(changes) == 0 {
+		return nil
+	}
+	last := changes[len(changes)-1].GetRevision()
+	l.advance(last)
+	if l.relay {
+		l.hub.noteSpread(last)
+	}
+	if !l.hub.cfg.Log.Learn(changes) {
+		return nil
+	}
+	resume := &wirepb.ChangeRequestFrom{Revision: l.hub.cfg.Log.State().Revision}
+	return l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Resume{Resume: resume}})
+}
+
+func (l *link) takeSnapshot(part *wirepb.SnapshotPart) error {
+	l.snapshot = append(l.snapshot, part.GetData()...)
+	if len(l.snapshot) > maxSnapshot {
+		return &ProtocolError{Expected: "a snapshot of at most 64 MiB"}
+	}
+	if !part.GetLast() {
+		return nil
+	}
+	data := l.snapshot
+	l.snapshot = nil
+	snapshot, err := chain.DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	l.advance(snapshot.GetRevision())
+	if l.relay {
+		l.hub.noteSpread(snapshot.GetRevision())
+	}
+	l.hub.cfg.Log.LearnSnapshot(snapshot)
+	return nil
+}
+
+// noteSpread notes that the changes up to a revision came from another relay.
+func (h *Hub) noteSpread(revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.spread = max(h.spread, revision)
+}
+
+// spreads reports whether another relay spreads all that this node knows.
+func (h *Hub) spreads() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cfg.Log.State().Revision <= h.spread
+}
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -184,20 +184,6 @@
 	return relays[:min(len(relays), maxAlternates)]
 }
 
-// noteSpread notes that the changes up to a revision came from another relay.
-func (h *Hub) noteSpread(revision uint64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.spread = max(h.spread, revision)
-}
-
-// spreads reports whether another relay spreads all that this node knows.
-func (h *Hub) spreads() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.cfg.Log.State().Revision <= h.spread
-}
-
 func (h *Hub) add(l *link) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/turmericdale/turmericdale/internal/chain"
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -26,9 +25,6 @@
 
 	writeTimeout  = 2 * time.Second
 	maxFrameBytes = 1 << 20
-	snapshotPart  = 64 << 10
-	maxSnapshot   = 64 << 20
-	batchChanges  = 64
 	batchMembers  = 256
 	batchVerdicts = 256
 	// gatherTime joins news that come in a burst.
@@ -151,57 +147,6 @@
 	return silenceLimit
 }
 
-// sendChanges sends what the other side lacks. What came from another relay goes to those of other data centres only
-// when it is due, if they have not told by then that they have it.
-func (l *link) sendChanges(due bool) error {
-	if l.far && !due && l.hub.spreads() {
-		return nil
-	}
-	for {
-		l.mu.Lock()
-		revision := l.revision
-		l.mu.Unlock()
-		changes, complete := l.hub.cfg.Log.Since(revision)
-		switch {
-		case !complete:
-			if err := l.sendSnapshot(); err != nil {
-				return err
-			}
-			continue
-		case len(changes) == 0:
-			return nil
-		}
-		changes = changes[:min(len(changes), batchChanges)]
-		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Changes{Changes: &wirepb.ChangeBatch{Changes: changes}}}); err != nil {
-			return err
-		}
-		l.advance(changes[len(changes)-1].GetRevision())
-	}
-}
-
-func (l *link) advance(revision uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.revision = max(l.revision, revision)
-}
-
-func (l *link) sendSnapshot() error {
-	snapshot := l.hub.cfg.Log.State().Snapshot()
-	data, err := chain.EncodeSnapshot(snapshot)
-	if err != nil {
-		return err
-	}
-	for first := 0; first < len(data); first += snapshotPart {
-		last := min(first+snapshotPart, len(data))
-		part := &wirepb.SnapshotPart{Revision: snapshot.GetRevision(), Data: data[first:last], Last: last == len(data)}
-		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Snapshot{Snapshot: part}}); err != nil {
-			return err
-		}
-	}
-	l.advance(snapshot.GetRevision())
-	return nil
-}
-
 // sendNews sends the member records that changed since the cursor, but not back to where they came from.
 func (l *link) sendNews(from *cursor) error {
 	names, next, complete := l.hub.cfg.Members.Feed.Since(from.members)
@@ -340,44 +285,6 @@
 	}
 }
 
-func (l *link) takeChanges(changes []*wirepb.Change) error {
-	if len(changes) == 0 {
-		return nil
-	}
-	last := changes[len(changes)-1].GetRevision()
-	l.advance(last)
-	if l.relay {
-		l.hub.noteSpread(last)
-	}
-	if !l.hub.cfg.Log.Learn(changes) {
-		return nil
-	}
-	resume := &wirepb.ChangeRequestFrom{Revision: l.hub.cfg.Log.State().Revision}
-	return l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Resume{Resume: resume}})
-}
-
-func (l *link) takeSnapshot(part *wirepb.SnapshotPart) error {
-	l.snapshot = append(l.snapshot, part.GetData()...)
-	if len(l.snapshot) > maxSnapshot {
-		return &ProtocolError{Expected: "a snapshot of at most 64 MiB"}
-	}
-	if !part.GetLast() {
-		return nil
-	}
-	data := l.snapshot
-	l.snapshot = nil
-	snapshot, err := chain.DecodeSnapshot(data)
-	if err != nil {
-		return err
-	}
-	l.advance(snapshot.GetRevision())
-	if l.relay {
-		l.hub.noteSpread(snapshot.GetRevision())
-	}
-	l.hub.cfg.Log.LearnSnapshot(snapshot)
-	return nil
-}
-
 func (l *link) takeMembers(records []*wirepb.MemberRecord) {
 	l.mu.Lock()
 	for _, r := range records {
