Spread what came from below the other relay of a data centre

A relay took what its neighbour in the data centre sent for spread by others, and did not pass it on; the relays of its slot in other data centres got it only from their own neighbours, of which one was frozen or dead, or from the platform at their next poll. Ruled out: the longer silence between data centres (links of a frozen relay are not waited for). Change: a batch says whether its sender has it from another data centre; only then is it spread by others. TestChangesOfOtherRelays has the two cases of the neighbour.

--- a/internal/relay/changes.go
+++ b/internal/relay/changes.go
@@ -32,7 +32,7 @@
 			return nil
 		}
 		changes = changes[:min(len(changes), batchChanges)]
-		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Changes{Changes: &wirepb.ChangeBatch{Changes: changes}}}); err != nil {
+		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Changes{Changes: &wirepb.ChangeBatch{Changes: changes, Spread: l.hub.spreads()}}}); err != nil {
 			return err
 		}
 		l.advance(changes[len(changes)-1].GetRevision())
@@ -62,13 +62,15 @@
 	return nil
 }
 
-func (l *link) takeChanges(changes []*wirepb.Change) error {
+func (l *link) takeChanges(batch *wirepb.ChangeBatch) error {
+	changes := batch.GetChanges()
 	if len(changes) == 0 {
 		return nil
 	}
 	last := changes[len(changes)-1].GetRevision()
 	l.advance(last)
-	if l.relay {
+	// The other relay of a data centre spreads what came from below it over links of its own.
+	if l.far || l.relay && batch.GetSpread() {
 		l.hub.noteSpread(last)
 	}
 	if !l.hub.cfg.Log.Learn(changes) {
@@ -93,7 +95,7 @@
 		return err
 	}
 	l.advance(snapshot.GetRevision())
-	if l.relay {
+	if l.far {
 		l.hub.noteSpread(snapshot.GetRevision())
 	}
 	l.hub.cfg.Log.LearnSnapshot(snapshot)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -256,7 +256,7 @@
 func (l *link) take(message *wirepb.LinkFrame) error {
 	switch kind := message.GetKind().(type) {
 	case *wirepb.LinkFrame_Changes:
-		return l.takeChanges(kind.Changes.GetChanges())
+		return l.takeChanges(kind.Changes)
 	case *wirepb.LinkFrame_Snapshot:
 		return l.takeSnapshot(kind.Snapshot)
 	case *wirepb.LinkFrame_Members:
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -70,17 +70,27 @@
 	far.relay, far.far = true, true
 	child, childSide := newLink(t, h, "child")
 
-	require.NoError(t, from.takeChanges([]*wirepb.Change{newChange(1)}))
+	batch := func(revision uint64, spread bool) *wirepb.ChangeBatch {
+		return &wirepb.ChangeBatch{Changes: []*wirepb.Change{newChange(revision)}, Spread: spread}
+	}
+	require.NoError(t, from.takeChanges(batch(1, false)))
 	require.Equal(t, []uint64{1}, sent(t, child, childSide, false), "nodes below get it at once")
 	require.Empty(t, sent(t, far, farSide, false), "another relay tells it")
 	require.Equal(t, []uint64{1}, sent(t, far, farSide, true), "it does not have it in time")
 
-	require.NoError(t, from.takeChanges([]*wirepb.Change{newChange(2)}))
+	require.NoError(t, from.takeChanges(batch(2, false)))
 	require.NoError(t, far.takeBeat(&wirepb.LinkBeat{Revision: 2}))
 	require.Empty(t, sent(t, far, farSide, true), "it has told that it has it")
 
-	require.NoError(t, child.takeChanges([]*wirepb.Change{newChange(3)}))
+	require.NoError(t, child.takeChanges(batch(3, true)))
 	require.Equal(t, []uint64{3}, sent(t, far, farSide, false), "what comes from below goes to all at once")
+
+	near, _ := newLink(t, h, "near")
+	near.relay = true
+	require.NoError(t, near.takeChanges(batch(4, false)))
+	require.Equal(t, []uint64{4}, sent(t, far, farSide, false), "what came from below the other relay goes to all at once")
+	require.NoError(t, near.takeChanges(batch(5, true)))
+	require.Empty(t, sent(t, far, farSide, false), "the other relay has it from another data centre")
 }
 
 func TestAlternatesAreToldOnce(t *testing.T) {
