Drop the upstreams' counts by second, which doubled the counts of measure moves

Cause: the reference that read them (shownAt) went when the check on a fault under load became strict again; they stayed. script/measure and script/demo sum every "calls" of a ledger, so the counts by second were added to the total: all absolute counts of calls that they printed were twice too large; shares, times and callers' figures are not touched by it.

--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -71,8 +71,6 @@
 	// FirstFault and LastCall are Unix times in milliseconds, or 0.
 	FirstFault int64 `json:"first_fault_ms"`
 	LastCall   int64 `json:"last_call_ms"`
-	// Seconds counts the calls by Unix second.
-	Seconds map[int64]SecondLedger `json:"seconds,omitempty"`
 	// AfterFault is the number of calls that arrived after the first faulty one was answered.
 	AfterFault int64 `json:"after_fault"`
 	// Requests counts the executions by the caller's id of the request.
@@ -81,12 +79,6 @@
 	Keys map[string]int `json:"keys,omitempty"`
 }
 
-// SecondLedger is what an upstream executed in one second.
-type SecondLedger struct {
-	Calls  int `json:"calls"`
-	Faulty int `json:"faulty"`
-}
-
 // Upstream is a stand-in for a back end.
 type Upstream struct {
 	cfg   UpstreamConfig
@@ -108,7 +100,7 @@
 // NewUpstream returns an upstream that is not yet serving.
 func NewUpstream(cfg UpstreamConfig) *Upstream {
 	u := &Upstream{cfg: cfg, started: time.Now(), ledger: Ledger{
-		Service: cfg.Service, Version: cfg.Version, Requests: map[string]int{}, Keys: map[string]int{}, Seconds: map[int64]SecondLedger{},
+		Service: cfg.Service, Version: cfg.Version, Requests: map[string]int{}, Keys: map[string]int{},
 	}}
 	u.crashed, u.crash = context.WithCancel(context.Background())
 	return u
@@ -189,7 +181,6 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	ledger := u.ledger
-	ledger.Seconds = maps.Clone(u.ledger.Seconds)
 	ledger.Requests, ledger.Keys = maps.Clone(u.ledger.Requests), maps.Clone(u.ledger.Keys)
 	return ledger
 }
@@ -306,15 +297,11 @@
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		u.ledger.Keys[key]++
 	}
-	second := u.ledger.Seconds[now.Unix()]
-	second.Calls++
 	age := now.Sub(u.first)
 	if u.cfg.Fault.shows(r.URL.Path, u.running, u.ledger.Calls, age) {
 		u.ledger.Faulty++
-		second.Faulty++
 		fault = u.cfg.Fault
 	}
-	u.ledger.Seconds[now.Unix()] = second
 	return fault, age < u.cfg.ColdStart, true
 }
 
