Say the default of max_children and the check of rejected input once

Cause: the test of a data centre's size had its own copy of the default, which could drift from the settings'; two subtests of peer repeated the same six lines. Change: conf.DefaultMaxChildren is used by both; requireRejected holds the lines, with the same bound. go test ./internal/conf ./internal/relay ./internal/peer and the linter green.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -16,12 +16,14 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
+// DefaultMaxChildren is the number of links that a node takes from nodes below it unless its settings say otherwise.
+const DefaultMaxChildren = 16
+
 const (
 	maxFileBytes        = 1 << 20
 	maxSeeds            = 8
 	defaultStopTimeout  = 10 * time.Second
 	maxStopTimeout      = 10 * time.Minute
-	defaultMaxChildren  = 16
 	defaultSubsetSize   = 8
 	defaultQueueFactor  = 2
 	defaultMaxBodyBytes = 1 << 20
@@ -142,7 +144,7 @@
 		PlatformAddress:  c.address("platform_address", s.GetPlatformAddress()),
 		AdminTokenSHA256: c.hash("admin_token_sha256", s.GetAdminTokenSha256()),
 		StopTimeout:      c.duration("stop_timeout", s.GetStopTimeout(), defaultStopTimeout, 0, maxStopTimeout),
-		MaxChildren:      c.number("max_children", uint64(s.GetMaxChildren()), defaultMaxChildren, 2, 256),
+		MaxChildren:      c.number("max_children", uint64(s.GetMaxChildren()), DefaultMaxChildren, 2, 256),
 		SubsetSize:       c.number("subset_size", uint64(s.GetSubsetSize()), defaultSubsetSize, 1, 64),
 		QueueFactor:      c.number("queue_factor", uint64(s.GetQueueFactor()), defaultQueueFactor, 1, 16),
 		MaxBodyBytes:     int64(c.number("max_body_bytes", s.GetMaxBodyBytes(), defaultMaxBodyBytes, 1, maxBodyBytes)),
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -61,6 +61,15 @@
 	require.Equal(t, "7", answer.GetCallId())
 }
 
+// requireRejected checks that a server counts an input as rejected.
+func requireRejected(t *testing.T, s *Server, conn net.Conn, input []byte) {
+	t.Helper()
+	before := s.Rejected.Load()
+	_, err := conn.Write(input)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return s.Rejected.Load() > before }, time.Second, time.Millisecond)
+}
+
 func TestGarbageIsCountedAndHarmsNobody(t *testing.T) {
 	s, address := newServer(t)
 	p := newPool(t)
@@ -72,13 +81,10 @@
 	}
 	for name, input := range inputs {
 		t.Run("session of "+name, func(t *testing.T) {
-			before := s.Rejected.Load()
 			conn, err := net.Dial("tcp", address.String())
 			require.NoError(t, err)
 			defer func() { _ = conn.Close() }()
-			_, err = conn.Write(input)
-			require.NoError(t, err)
-			require.Eventually(t, func() bool { return s.Rejected.Load() > before }, time.Second, time.Millisecond)
+			requireRejected(t, s, conn, input)
 			requireAnswer(t, p, address)
 		})
 	}
@@ -87,13 +93,10 @@
 	}
 	for name, input := range streams {
 		t.Run("stream of "+name, func(t *testing.T) {
-			before := s.Rejected.Load()
 			stream, err := p.Open(t.Context(), address)
 			require.NoError(t, err)
 			defer func() { _ = stream.Close() }()
-			_, err = stream.Write(input)
-			require.NoError(t, err)
-			require.Eventually(t, func() bool { return s.Rejected.Load() > before }, time.Second, time.Millisecond)
+			requireRejected(t, s, stream, input)
 			requireAnswer(t, p, address)
 		})
 	}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/internal/chain"
+	"github.com/turmericdale/turmericdale/internal/conf"
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/member"
 	"github.com/turmericdale/turmericdale/internal/move"
@@ -118,10 +119,10 @@
 
 // The tree of links of a data centre holds the nodes of the largest one expected, each with two links up.
 func TestDataCentreOfTheExpectedSizeFits(t *testing.T) {
-	const expected, defaultChildren = 820, 16
+	const expected = 820
 	nodes, level := relaySlots, relaySlots
 	for range maxDepth + 1 {
-		level = level * defaultChildren / parentLinks
+		level = level * conf.DefaultMaxChildren / parentLinks
 		nodes += level
 	}
 	require.GreaterOrEqual(t, nodes, expected)
