--- /dev/null
+++ b/cmd/standin/layout.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericdale/turmericdale/internal/emul"
+)
+
+func newCmdLayout() *cobra.Command {
+	name, base, platform := "", "", ""
+	cfg := emul.LayoutConfig{}
+	cmd := &cobra.Command{
+		Use:   "layout",
+		Short: "Write the settings of a deployment's nodes on loopback",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			deployment, err := emul.FindDeployment(name)
+			if err != nil {
+				return err
+			}
+			if cfg.Base, err = netip.ParseAddrPort(base); err != nil {
+				return errors.Wrap(err, "base")
+			}
+			if cfg.Platform, err = netip.ParseAddrPort(platform); err != nil {
+				return errors.Wrap(err, "platform")
+			}
+			return deployment.WriteLayout(cfg)
+		},
+	}
+	cmd.Flags().StringVar(&name, "deployment", "gnomon", "gnomon or kettle")
+	cmd.Flags().StringVar(&cfg.Directory, "directory", "", "Directory to write to")
+	cmd.Flags().StringVar(&base, "base", "127.0.0.1:21000", "First address; each VM uses ten ports")
+	cmd.Flags().StringVar(&platform, "platform", "127.0.0.1:20000", "Address of the platform")
+	cmd.Flags().StringVar(&cfg.AdminTokenSHA256, "admin-token-sha256", "", "Hash of the administrator's token")
+	cmd.Flags().StringVar(&cfg.MovePolicy, "move-policy", "", "Policy of moves")
+	cmd.Flags().StringVar(&cfg.PickPolicy, "pick-policy", "", "Policy of choice")
+	return cmd
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,23 @@
+// Command standin runs the stand-ins for the platform, upstreams and callers: scaffolding for tests and measurements.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cmd := &cobra.Command{Use: "standin", Short: "Run stand-ins for tests and measurements", SilenceUsage: true, SilenceErrors: true}
+	cmd.AddCommand(newCmdPlatform(), newCmdUpstream(), newCmdCaller(), newCmdLayout())
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/standin/upstream.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/turmericdale/turmericdale/internal/emul"
+)
+
+func newCmdUpstream() *cobra.Command {
+	address, node, fault := "", "", ""
+	cfg := emul.UpstreamConfig{}
+	cmd := &cobra.Command{
+		Use:   "upstream",
+		Short: "Run an upstream",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var err error
+			if cfg.Address, err = netip.ParseAddrPort(address); err != nil {
+				return errors.Wrap(err, "address")
+			}
+			if cfg.Node, err = netip.ParseAddrPort(node); err != nil {
+				return errors.Wrap(err, "node")
+			}
+			if err := json.Unmarshal([]byte(fault), &cfg.Fault); err != nil {
+				return errors.Wrap(err, "fault")
+			}
+			return emul.NewUpstream(cfg).Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&address, "address", "", "Address to serve")
+	cmd.Flags().StringVar(&node, "node", "", "Address where the node takes announcements")
+	cmd.Flags().StringVar(&fault, "fault", "{}", "Fault in JSON")
+	cmd.Flags().StringVar(&cfg.Service, "service", "", "Service")
+	cmd.Flags().StringVar(&cfg.Version, "version", "v1", "Version")
+	cmd.Flags().IntVar(&cfg.Slots, "slots", 12, "Calls at the same time")
+	cmd.Flags().IntVar(&cfg.Connections, "connections", 120, "Connections")
+	cmd.Flags().DurationVar(&cfg.ServiceTime, "service-time", 2*time.Millisecond, "Mean time of a call")
+	cmd.Flags().DurationVar(&cfg.ColdStart, "cold-start", 0, "Time in which calls are slower")
+	cmd.Flags().DurationVar(&cfg.ColdDelay, "cold-delay", 0, "Added to calls in the cold start")
+	cmd.Flags().BoolVar(&cfg.Silent, "silent", false, "Leave without an announcement")
+	return cmd
+}
--- /dev/null
+++ b/internal/admin/errors.go
@@ -0,0 +1,89 @@
+package admin
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericdale/turmericdale/internal/chain"
+	"github.com/turmericdale/turmericdale/internal/move"
+	"github.com/turmericdale/turmericdale/internal/store"
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+// TokenError says that a request carries no token of a team or the administrator.
+type TokenError struct{}
+
+func (e *TokenError) Error() string {
+	return "the token is missing or unknown: send a token of your team as Authorization: Bearer TOKEN"
+}
+
+// FormatError says that a request is not the JSON that the API takes.
+type FormatError struct {
+	Cause error
+}
+
+func (e *FormatError) Error() string { return "request is not allowed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Cause }
+
+// failureOf maps an error to an HTTP status and the body that explains it.
+func failureOf(err error) (int, *wirepb.Failure) {
+	var (
+		token       *TokenError
+		format      *FormatError
+		access      *tree.AccessError
+		conflict    *tree.ConflictError
+		missing     *tree.MissingError
+		path        *tree.PathError
+		value       *tree.ValueError
+		limit       *tree.LimitError
+		noMove      *move.MissingError
+		ended       *move.EndedError
+		overtaken   *move.OvertakenError
+		busy        *chain.BusyError
+		contention  *chain.ContentionError
+		stopped     *chain.StoppedError
+		unavailable *store.UnavailableError
+	)
+	notRun := func(status int, kind string) (int, *wirepb.Failure) {
+		return status, &wirepb.Failure{Kind: kind, Message: err.Error(), NotRun: true}
+	}
+	switch {
+	case errors.As(err, &token):
+		return notRun(http.StatusUnauthorized, "token")
+	case errors.As(err, &access):
+		return notRun(http.StatusForbidden, "access")
+	case errors.As(err, &conflict), errors.As(err, &overtaken), errors.As(err, &ended):
+		return notRun(http.StatusConflict, "conflict")
+	case errors.As(err, &missing), errors.As(err, &noMove):
+		return notRun(http.StatusNotFound, "missing")
+	case errors.As(err, &format), errors.As(err, &path), errors.As(err, &value), errors.As(err, &limit):
+		return notRun(http.StatusUnprocessableEntity, "refused")
+	case errors.As(err, &busy), errors.As(err, &contention), errors.As(err, &stopped):
+		return notRun(http.StatusServiceUnavailable, "busy")
+	case errors.As(err, &unavailable):
+		return notRun(http.StatusServiceUnavailable, "platform_unavailable")
+	default:
+		return http.StatusGatewayTimeout, &wirepb.Failure{Kind: "outcome_unknown", Message: err.Error()}
+	}
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status, failure := failureOf(err)
+	writeMessage(w, status, failure)
+}
+
+func writeMessage(w http.ResponseWriter, status int, message proto.Message) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(message)
+	if err != nil {
+		status = http.StatusInternalServerError
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/admin/moves.go
@@ -0,0 +1,64 @@
+package admin
+
+import (
+	"net/http"
+	"sort"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/turmericdale/turmericdale/internal/move"
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+func maySeeMove(author string, service *tree.Service) bool {
+	return author == tree.Administrator || author == service.Team
+}
+
+func (s *Server) moves(w http.ResponseWriter, r *http.Request) {
+	list := &wirepb.MoveList{}
+	for _, service := range s.cfg.Log.State().Services {
+		if service.Record != nil && maySeeMove(authorOf(r), service) {
+			list.Moves = append(list.Moves, s.cfg.Verdicts.InForce(service.Record, s.cfg.Now()))
+		}
+	}
+	sort.Slice(list.Moves, func(i, j int) bool { return list.Moves[i].GetService() < list.Moves[j].GetService() })
+	writeMessage(w, http.StatusOK, list)
+}
+
+// service returns the service of a request's path if the author may touch its move.
+func (s *Server) service(r *http.Request) (*tree.Service, error) {
+	name := chi.URLParam(r, "service")
+	service, found := s.cfg.Log.State().Services[name]
+	if !found || service.Record == nil {
+		return nil, &move.MissingError{Service: name}
+	}
+	if !maySeeMove(authorOf(r), service) {
+		return nil, &tree.AccessError{Path: tree.RecordPath(name), Author: authorOf(r)}
+	}
+	return service, nil
+}
+
+func (s *Server) viewMove(w http.ResponseWriter, r *http.Request) {
+	service, err := s.service(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeMessage(w, http.StatusOK, s.cfg.Verdicts.InForce(service.Record, s.cfg.Now()))
+}
+
+func (s *Server) takeBack(w http.ResponseWriter, r *http.Request) {
+	service, err := s.service(r)
+	if err == nil {
+		err = s.cfg.TakeBack(r.Context(), service.Name, "taken back by "+authorOf(r))
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if updated, found := s.cfg.Log.State().Services[service.Name]; found {
+		service = updated
+	}
+	writeMessage(w, http.StatusOK, s.cfg.Verdicts.InForce(service.Record, s.cfg.Now()))
+}
--- /dev/null
+++ b/internal/admit/doc.go
@@ -0,0 +1,2 @@
+// Package admit decides beside an upstream which calls run, which wait for a slot and which are refused.
+package admit
--- /dev/null
+++ b/internal/admit/gate.go
@@ -0,0 +1,188 @@
+package admit
+
+import (
+	"container/list"
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	classes       = int(wirepb.Class_CLASS_CRITICAL) + 1
+	serviceWeight = 0.1
+)
+
+// RefusedError says that a call was not handed to the upstream.
+type RefusedError struct {
+	Refusal wirepb.Refusal
+}
+
+func (e *RefusedError) Error() string { return fmt.Sprintf("call not run: %s", e.Refusal) }
+
+// Config configures a Gate.
+type Config struct {
+	// Slots is the number of calls that run at the same time.
+	Slots int
+	// Waiting is the number of calls that may wait for a slot.
+	Waiting int
+	Now     func() time.Time
+}
+
+// Gate admits calls to the slots of one upstream, the highest class first and within a class in order of arrival.
+type Gate struct {
+	cfg Config
+
+	mu      sync.Mutex
+	running int
+	waiting int
+	closed  bool
+	queues  [classes]list.List
+	// service is the moving average of the time that a call holds a slot.
+	service time.Duration
+}
+
+type waiter struct {
+	admitted chan wirepb.Refusal
+}
+
+// NewGate returns an open gate.
+func NewGate(cfg Config) *Gate { return &Gate{cfg: cfg} }
+
+// Acquire waits for a slot until the context ends; it returns *RefusedError, after which the call has not run.
+func (g *Gate) Acquire(ctx context.Context, class wirepb.Class) error {
+	element, refusal := g.enter(ctx, class)
+	if refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
+		return &RefusedError{Refusal: refusal}
+	}
+	if element == nil {
+		return nil
+	}
+	w, _ := element.Value.(*waiter)
+	select {
+	case refusal = <-w.admitted:
+	case <-ctx.Done():
+		refusal = g.abandon(class, element, w)
+	}
+	if refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
+		return &RefusedError{Refusal: refusal}
+	}
+	return nil
+}
+
+// enter takes a slot at once, joins the queue, or refuses.
+func (g *Gate) enter(ctx context.Context, class wirepb.Class) (*list.Element, wirepb.Refusal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.closed:
+		return nil, wirepb.Refusal_REFUSAL_LEAVING
+	case g.running < g.cfg.Slots && g.waiting == 0:
+		g.running++
+		return nil, wirepb.Refusal_REFUSAL_UNSPECIFIED
+	case !g.worthWaiting(ctx, class):
+		return nil, wirepb.Refusal_REFUSAL_OVERLOADED
+	case g.waiting >= g.cfg.Waiting && !g.shedBelow(class):
+		return nil, wirepb.Refusal_REFUSAL_OVERLOADED
+	}
+	g.waiting++
+	return g.queues[class].PushBack(&waiter{admitted: make(chan wirepb.Refusal, 1)}), wirepb.Refusal_REFUSAL_UNSPECIFIED
+}
+
+// worthWaiting reports whether a slot is expected before the deadline of the call.
+func (g *Gate) worthWaiting(ctx context.Context, class wirepb.Class) bool {
+	deadline, found := ctx.Deadline()
+	if !found || g.service == 0 {
+		return true
+	}
+	ahead := 1
+	for c := int(class); c < classes; c++ {
+		ahead += g.queues[c].Len()
+	}
+	wait := g.service * time.Duration(ahead) / time.Duration(g.cfg.Slots)
+	return g.cfg.Now().Add(wait).Before(deadline)
+}
+
+// shedBelow refuses the newest waiter of the lowest class below the given one.
+func (g *Gate) shedBelow(class wirepb.Class) bool {
+	for c := range int(class) {
+		if newest := g.queues[c].Back(); newest != nil {
+			g.queues[c].Remove(newest)
+			g.waiting--
+			w, _ := newest.Value.(*waiter)
+			w.admitted <- wirepb.Refusal_REFUSAL_OVERLOADED
+			return true
+		}
+	}
+	return false
+}
+
+// abandon leaves the queue, unless a slot or a refusal came at the same moment.
+func (g *Gate) abandon(class wirepb.Class, element *list.Element, w *waiter) wirepb.Refusal {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case refusal := <-w.admitted:
+		if refusal == wirepb.Refusal_REFUSAL_UNSPECIFIED {
+			g.running--
+			g.admitNext()
+		}
+	default:
+		g.queues[class].Remove(element)
+		g.waiting--
+	}
+	return wirepb.Refusal_REFUSAL_EXPIRED
+}
+
+// Release gives a slot back after the call held it for a time.
+func (g *Gate) Release(held time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service += time.Duration(serviceWeight * float64(held-g.service))
+	g.running--
+	g.admitNext()
+}
+
+func (g *Gate) admitNext() {
+	for c := classes - 1; c >= 0 && g.running < g.cfg.Slots; c-- {
+		if oldest := g.queues[c].Front(); oldest != nil {
+			g.queues[c].Remove(oldest)
+			g.waiting--
+			g.running++
+			w, _ := oldest.Value.(*waiter)
+			w.admitted <- wirepb.Refusal_REFUSAL_UNSPECIFIED
+			return
+		}
+	}
+}
+
+// Close refuses new calls and those that wait; calls that run go on.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for c := range g.queues {
+		for e := g.queues[c].Front(); e != nil; e = g.queues[c].Front() {
+			g.queues[c].Remove(e)
+			g.waiting--
+			w, _ := e.Value.(*waiter)
+			w.admitted <- wirepb.Refusal_REFUSAL_LEAVING
+		}
+	}
+}
+
+// Running returns the number of calls that hold a slot.
+func (g *Gate) Running() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running
+}
+
+// LoadPermille returns the calls that run or wait, in thousandths of the slots.
+func (g *Gate) LoadPermille() uint32 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return uint32((g.running + g.waiting) * 1000 / g.cfg.Slots)
+}
--- /dev/null
+++ b/internal/chain/follow.go
@@ -0,0 +1,185 @@
+package chain
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	headKey          = "head"
+	logPrefix        = "log/"
+	pageRows         = 500
+	maxSnapshotBytes = 256 << 20
+)
+
+func logKey(revision uint64) string { return fmt.Sprintf("%s%020d", logPrefix, revision) }
+
+func snapshotName(revision uint64) string { return fmt.Sprintf("snapshot/%020d", revision) }
+
+// Sync catches up with the platform; it returns *store.UnavailableError or *CorruptError.
+func (l *Log) Sync(ctx context.Context) error {
+	_, _, err := l.sync(ctx)
+	return err
+}
+
+func (l *Log) sync(ctx context.Context) (*wirepb.Head, uint64, error) {
+	head, version, err := l.head(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	l.hear(head.GetRevision())
+	return head, version, l.catchUp(ctx, head)
+}
+
+func (l *Log) head(ctx context.Context) (*wirepb.Head, uint64, error) {
+	row, err := l.store.Row(ctx, headKey)
+	if err != nil {
+		return nil, 0, err
+	}
+	head := &wirepb.Head{}
+	if err := proto.Unmarshal(row.GetValue(), head); err != nil {
+		return nil, 0, &CorruptError{Name: headKey, Cause: err}
+	}
+	return head, row.GetVersion(), nil
+}
+
+func (l *Log) catchUp(ctx context.Context, head *wirepb.Head) error {
+	for l.State().Revision < head.GetRevision() {
+		before := l.State().Revision
+		if err := l.catchUpPage(ctx, head); err != nil {
+			return err
+		}
+		if l.State().Revision == before {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (l *Log) catchUpPage(ctx context.Context, head *wirepb.Head) error {
+	rows, err := l.store.Range(ctx, logPrefix, logKey(l.State().Revision), pageRows)
+	if err != nil {
+		return err
+	}
+	changes, err := decodeChanges(rows)
+	if err != nil {
+		return err
+	}
+	if l.Learn(changes) {
+		return l.loadSnapshot(ctx, head.GetSnapshotRevision())
+	}
+	return nil
+}
+
+func decodeChanges(rows []*wirepb.Row) ([]*wirepb.Change, error) {
+	changes := make([]*wirepb.Change, 0, len(rows))
+	for _, r := range rows {
+		change := &wirepb.Change{}
+		if err := proto.Unmarshal(r.GetValue(), change); err != nil {
+			return nil, &CorruptError{Name: r.GetKey(), Cause: err}
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+func (l *Log) loadSnapshot(ctx context.Context, revision uint64) error {
+	data, err := l.store.Object(ctx, snapshotName(revision))
+	if err != nil {
+		return err
+	}
+	snapshot, err := DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	l.LearnSnapshot(snapshot)
+	return nil
+}
+
+// History returns the kept changes that touched a path, newest first; it returns *store.UnavailableError or *CorruptError.
+func (l *Log) History(ctx context.Context, path string) ([]*wirepb.Change, error) {
+	var found []*wirepb.Change
+	for after := logPrefix; ; {
+		rows, err := l.store.Range(ctx, logPrefix, after, pageRows)
+		if err != nil {
+			return nil, err
+		}
+		changes, err := decodeChanges(rows)
+		if err != nil {
+			return nil, err
+		}
+		for _, c := range changes {
+			if touches(c, path) {
+				found = append(found, c)
+			}
+		}
+		if len(rows) < pageRows {
+			slices.Reverse(found)
+			return found, nil
+		}
+		after = rows[len(rows)-1].GetKey()
+	}
+}
+
+func touches(change *wirepb.Change, path string) bool {
+	for _, p := range change.GetPuts() {
+		if p.GetPath() == path {
+			return true
+		}
+	}
+	return false
+}
+
+// spread returns a duration of half to one and a half times the base.
+func (l *Log) spread(base time.Duration) time.Duration {
+	return base/2 + time.Duration(l.jitter()*float64(base))
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// EncodeSnapshot compresses a snapshot; it returns *CorruptError for text that cannot be encoded.
+func EncodeSnapshot(snapshot *wirepb.Snapshot) ([]byte, error) {
+	plain, err := proto.Marshal(snapshot)
+	if err != nil {
+		return nil, &CorruptError{Name: "snapshot", Cause: err}
+	}
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, &CorruptError{Name: "snapshot", Cause: err}
+	}
+	defer func() { _ = encoder.Close() }()
+	return encoder.EncodeAll(plain, nil), nil
+}
+
+// DecodeSnapshot decompresses a snapshot of at most 256 MiB; it returns *CorruptError.
+func DecodeSnapshot(data []byte) (*wirepb.Snapshot, error) {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
+	if err != nil {
+		return nil, &CorruptError{Name: "snapshot", Cause: err}
+	}
+	defer decoder.Close()
+	plain, err := decoder.DecodeAll(data, nil)
+	if err != nil {
+		return nil, &CorruptError{Name: "snapshot", Cause: err}
+	}
+	snapshot := &wirepb.Snapshot{}
+	if err := proto.Unmarshal(plain, snapshot); err != nil {
+		return nil, &CorruptError{Name: "snapshot", Cause: err}
+	}
+	return snapshot, nil
+}
+
--- /dev/null
+++ b/internal/conf/conf.go
@@ -0,0 +1,224 @@
+package conf
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/tailscale/hujson"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	maxFileBytes        = 1 << 20
+	maxSeeds            = 8
+	defaultStopTimeout  = 10 * time.Second
+	maxStopTimeout      = 10 * time.Minute
+	defaultMaxChildren  = 32
+	defaultSubsetSize   = 8
+	defaultQueueFactor  = 2
+	defaultMaxBodyBytes = 1 << 20
+	maxBodyBytes        = 16 << 20
+	defaultPollInterval = time.Second
+	minPollInterval     = 100 * time.Millisecond
+	maxPollInterval     = 5 * time.Second
+	tokenHashBytes      = 32
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Error says which field of which file has a value that is not allowed.
+type Error struct {
+	File    string
+	Field   string
+	Value   string
+	Allowed string
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: field %s has value %q: allowed is %s", e.File, e.Field, e.Value, e.Allowed)
+}
+
+// FileError says that a settings file cannot be read or is not JSON with comments of NodeSettings.
+type FileError struct {
+	File  string
+	Cause error
+}
+
+func (e *FileError) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// SizeError says that a settings file is too large.
+type SizeError struct {
+	Bytes int64
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("%d bytes exceed the limit of %d", e.Bytes, maxFileBytes)
+}
+
+// Node holds the checked settings of a node.
+type Node struct {
+	Name             string
+	Region           string
+	DataCentre       string
+	CallerAddress    netip.AddrPort
+	PeerAddress      netip.AddrPort
+	AdminAddress     netip.AddrPort
+	AnnounceAddress  netip.AddrPort
+	PlatformAddress  netip.AddrPort
+	AdminTokenSHA256 string
+	StopTimeout      time.Duration
+	MaxChildren      int
+	SubsetSize       int
+	QueueFactor      int
+	MaxBodyBytes     int64
+	MovePolicy       string
+	PickPolicy       string
+	PollInterval     time.Duration
+	Seeds            []netip.AddrPort
+}
+
+// Load reads and checks a settings file; it returns *FileError or *Error.
+func Load(file string) (*Node, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, &FileError{File: file, Cause: err}
+	}
+	if info.Size() > maxFileBytes {
+		return nil, &FileError{File: file, Cause: &SizeError{Bytes: info.Size()}}
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &FileError{File: file, Cause: err}
+	}
+	return Parse(file, text)
+}
+
+// Parse checks the text of a settings file; it returns *FileError or *Error.
+func Parse(file string, text []byte) (*Node, error) {
+	plain, err := hujson.Standardize(text)
+	if err != nil {
+		return nil, &FileError{File: file, Cause: err}
+	}
+	settings := &wirepb.NodeSettings{}
+	if err := protojson.Unmarshal(plain, settings); err != nil {
+		return nil, &FileError{File: file, Cause: err}
+	}
+	c := &checker{file: file}
+	node := c.node(settings)
+	if c.failure != nil {
+		return nil, c.failure
+	}
+	return node, nil
+}
+
+// checker keeps the first failure.
+type checker struct {
+	file    string
+	failure error
+}
+
+func (c *checker) node(s *wirepb.NodeSettings) *Node {
+	return &Node{
+		Name:             c.name("name", s.GetName()),
+		Region:           c.name("region", s.GetRegion()),
+		DataCentre:       c.name("data_centre", s.GetDataCentre()),
+		CallerAddress:    c.address("caller_address", s.GetCallerAddress()),
+		PeerAddress:      c.address("peer_address", s.GetPeerAddress()),
+		AdminAddress:     c.address("admin_address", s.GetAdminAddress()),
+		AnnounceAddress:  c.address("announce_address", s.GetAnnounceAddress()),
+		PlatformAddress:  c.address("platform_address", s.GetPlatformAddress()),
+		AdminTokenSHA256: c.hash("admin_token_sha256", s.GetAdminTokenSha256()),
+		StopTimeout:      c.duration("stop_timeout", s.GetStopTimeout(), defaultStopTimeout, 0, maxStopTimeout),
+		MaxChildren:      c.number("max_children", uint64(s.GetMaxChildren()), defaultMaxChildren, 2, 256),
+		SubsetSize:       c.number("subset_size", uint64(s.GetSubsetSize()), defaultSubsetSize, 1, 64),
+		QueueFactor:      c.number("queue_factor", uint64(s.GetQueueFactor()), defaultQueueFactor, 1, 16),
+		MaxBodyBytes:     int64(c.number("max_body_bytes", s.GetMaxBodyBytes(), defaultMaxBodyBytes, 1, maxBodyBytes)),
+		MovePolicy:       c.oneOf("move_policy", s.GetMovePolicy(), "evidence", "clock"),
+		PickPolicy:       c.oneOf("pick_policy", s.GetPickPolicy(), "least_loaded", "round_robin"),
+		PollInterval:     c.duration("poll_interval", s.GetPollInterval(), defaultPollInterval, minPollInterval, maxPollInterval),
+		Seeds:            c.seeds(s.GetSeeds()),
+	}
+}
+
+func (c *checker) refuse(field, value, allowed string) {
+	if c.failure == nil {
+		c.failure = &Error{File: c.file, Field: field, Value: value, Allowed: allowed}
+	}
+}
+
+func (c *checker) name(field, value string) string {
+	if !namePattern.MatchString(value) {
+		c.refuse(field, value, "1 to 63 of a-z, 0-9 and -")
+	}
+	return value
+}
+
+func (c *checker) address(field, value string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 {
+		c.refuse(field, value, "an IP address and port such as 127.0.0.1:7001")
+	}
+	return address
+}
+
+func (c *checker) seeds(values []string) []netip.AddrPort {
+	if len(values) > maxSeeds {
+		c.refuse("seeds", strconv.Itoa(len(values))+" addresses", "at most 8 addresses")
+		return nil
+	}
+	var list []netip.AddrPort
+	for _, v := range values {
+		list = append(list, c.address("seeds", v))
+	}
+	return list
+}
+
+func (c *checker) hash(field, value string) string {
+	raw, err := hex.DecodeString(value)
+	if err != nil || len(raw) != tokenHashBytes && value != "" {
+		c.refuse(field, value, "64 hexadecimal digits, or nothing")
+	}
+	return value
+}
+
+func (c *checker) duration(field string, value *durationpb.Duration, fallback, low, high time.Duration) time.Duration {
+	if value == nil {
+		return fallback
+	}
+	if !value.IsValid() || value.AsDuration() < low || value.AsDuration() > high {
+		c.refuse(field, value.AsDuration().String(), low.String()+" to "+high.String())
+	}
+	return value.AsDuration()
+}
+
+func (c *checker) number(field string, value, fallback, low, high uint64) int {
+	if value == 0 {
+		return int(fallback)
+	}
+	if value < low || value > high {
+		c.refuse(field, strconv.FormatUint(value, 10), strconv.FormatUint(low, 10)+" to "+strconv.FormatUint(high, 10))
+	}
+	return int(value)
+}
+
+func (c *checker) oneOf(field, value, fallback, other string) string {
+	switch value {
+	case "":
+		return fallback
+	case fallback, other:
+	default:
+		c.refuse(field, value, fallback+" or "+other)
+	}
+	return value
+}
--- /dev/null
+++ b/internal/emul/layout.go
@@ -0,0 +1,129 @@
+package emul
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	portsPerVM = 10
+	// upstreamPort is the offset of the first version's port; the next versions follow.
+	upstreamPort = 4
+	layoutMode   = 0o600
+)
+
+// Deployment is the size of one customer's deployment.
+type Deployment struct {
+	Name        string
+	Region      string
+	DataCentres []string
+	Services    []string
+	// Servers is the number of servers of each service.
+	Servers     int
+	Slots       int
+	Connections int
+}
+
+// UnknownDeploymentError says that there is no deployment of a name.
+type UnknownDeploymentError struct {
+	Name string
+}
+
+func (e *UnknownDeploymentError) Error() string {
+	return "no deployment " + e.Name + ": use gnomon or kettle"
+}
+
+// FindDeployment returns a deployment by name; it returns *UnknownDeploymentError.
+func FindDeployment(name string) (Deployment, error) {
+	switch name {
+	case "gnomon":
+		return Deployment{
+			Name: name, Region: "leinster", DataCentres: []string{"leinster-a", "leinster-b", "leinster-c"},
+			Services: []string{"catalogue", "orders", "templates", "archive"}, Servers: 3, Slots: 12, Connections: 120,
+		}, nil
+	case "kettle":
+		return Deployment{
+			Name: name, Region: "bc-south", DataCentres: []string{"bc-south-a", "bc-south-b", "bc-south-c", "bc-south-d"},
+			Services: []string{"viewer", "signoff", "archive", "rodbook"}, Servers: 4, Slots: 18, Connections: 110,
+		}, nil
+	}
+	return Deployment{}, &UnknownDeploymentError{Name: name}
+}
+
+// VM is one VM of a deployment with the ports of its processes.
+type VM struct {
+	Node       string
+	DataCentre string
+	Service    string
+	Base       netip.AddrPort
+}
+
+func (v VM) at(offset uint16) netip.AddrPort {
+	return netip.AddrPortFrom(v.Base.Addr(), v.Base.Port()+offset)
+}
+
+// Caller returns the address for callers.
+func (v VM) Caller() netip.AddrPort { return v.at(0) }
+
+// Peer returns the address for other nodes.
+func (v VM) Peer() netip.AddrPort { return v.at(1) }
+
+// Admin returns the address for operators.
+func (v VM) Admin() netip.AddrPort { return v.at(2) }
+
+// Announce returns the address for upstreams.
+func (v VM) Announce() netip.AddrPort { return v.at(3) }
+
+// Upstream returns the address of the upstream that runs a version, from 0.
+func (v VM) Upstream(version int) netip.AddrPort { return v.at(upstreamPort + uint16(version)) }
+
+// VMs returns the VMs of a deployment from a first port on; each service has a server in each data centre in turn.
+func (d Deployment) VMs(base netip.AddrPort) []VM {
+	var list []VM
+	for i, service := range d.Services {
+		for j := range d.Servers {
+			list = append(list, VM{
+				Node: fmt.Sprintf("%s-%d", service, j), Service: service,
+				DataCentre: d.DataCentres[(i+j)%len(d.DataCentres)],
+				Base:       netip.AddrPortFrom(base.Addr(), base.Port()+uint16(portsPerVM*len(list))),
+			})
+		}
+	}
+	return list
+}
+
+// LayoutConfig configures WriteLayout.
+type LayoutConfig struct {
+	Directory        string
+	Base             netip.AddrPort
+	Platform         netip.AddrPort
+	AdminTokenSHA256 string
+	MovePolicy       string
+	PickPolicy       string
+}
+
+// WriteLayout writes a settings file for each node and vms.tsv with the columns node, service, caller, admin, announce and the upstreams' addresses.
+func (d Deployment) WriteLayout(cfg LayoutConfig) error {
+	table := ""
+	for _, v := range d.VMs(cfg.Base) {
+		text := fmt.Sprintf(`{
+  // %s in %s, beside an upstream of %s.
+  "name": %q, "region": %q, "data_centre": %q,
+  "caller_address": %q, "peer_address": %q, "admin_address": %q, "announce_address": %q,
+  "platform_address": %q,
+  "admin_token_sha256": %q,
+  "move_policy": %q, "pick_policy": %q
+}
+`, d.Name, v.DataCentre, v.Service, v.Node, d.Region, v.DataCentre, v.Caller(), v.Peer(), v.Admin(), v.Announce(),
+			cfg.Platform, cfg.AdminTokenSHA256, cfg.MovePolicy, cfg.PickPolicy)
+		if err := os.WriteFile(filepath.Join(cfg.Directory, v.Node+".jsonc"), []byte(text), layoutMode); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
+		table += fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", v.Node, v.Service, v.Caller(), v.Admin(), v.Announce(), v.Upstream(0), v.Upstream(1), v.Upstream(2))
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(cfg.Directory, "vms.tsv"), []byte(table), layoutMode), "write table")
+}
--- /dev/null
+++ b/internal/emul/upstream.go
@@ -0,0 +1,286 @@
+package emul
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	announceInterval = time.Second
+	announceTimeout  = 500 * time.Millisecond
+	maxUpstreamBody  = 16 << 20
+	padBytes         = 512
+)
+
+// HeaderRequestID carries the caller's own id of a request.
+const HeaderRequestID = "X-Request-Id"
+
+// UpstreamConfig configures an Upstream.
+type UpstreamConfig struct {
+	Service     string
+	Version     string
+	Address     netip.AddrPort
+	Node        netip.AddrPort
+	Slots       int
+	Connections int
+	// ServiceTime is the mean time of a call.
+	ServiceTime time.Duration
+	// ColdStart is the time from the first call in which calls take ColdDelay longer.
+	ColdStart time.Duration
+	ColdDelay time.Duration
+	Fault     Fault
+	// Silent leaves out the announcement of the leave.
+	Silent bool
+}
+
+// Answer is the body of an upstream's answer.
+type Answer struct {
+	Service   string `json:"service"`
+	Version   string `json:"version"`
+	RequestID string `json:"request_id"`
+	// Digest is the SHA-256 of the request's id and body.
+	Digest string `json:"digest"`
+	Pad    string `json:"pad"`
+}
+
+// Ledger is what an upstream executed.
+type Ledger struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	Calls   int64  `json:"calls"`
+	Faulty  int64  `json:"faulty"`
+	// FirstFault and LastCall are Unix times in milliseconds, or 0.
+	FirstFault int64 `json:"first_fault_ms"`
+	LastCall   int64 `json:"last_call_ms"`
+	// AfterFault is the number of calls that arrived after the first faulty one was answered.
+	AfterFault int64 `json:"after_fault"`
+	// Requests counts the executions by the caller's id of the request.
+	Requests map[string]int `json:"requests,omitempty"`
+	// Keys counts the executions by idempotency key.
+	Keys map[string]int `json:"keys,omitempty"`
+}
+
+// Upstream is a stand-in for a back end.
+type Upstream struct {
+	cfg UpstreamConfig
+
+	mu      sync.Mutex
+	running int64
+	leaving bool
+	first   time.Time
+	ledger  Ledger
+}
+
+// NewUpstream returns an upstream that is not yet serving.
+func NewUpstream(cfg UpstreamConfig) *Upstream {
+	return &Upstream{cfg: cfg, ledger: Ledger{
+		Service: cfg.Service, Version: cfg.Version, Requests: map[string]int{}, Keys: map[string]int{},
+	}}
+}
+
+// Run serves and announces itself until the context ends, then drains.
+func (u *Upstream) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", u.cfg.Address.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: u.Handler(), ReadHeaderTimeout: time.Second}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	u.announceUntil(ctx)
+	u.drain()
+	return errors.Wrap(server.Close(), "close")
+}
+
+// Handler serves calls, /health and the ledger under /control.
+func (u *Upstream) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/control/ledger", func(w http.ResponseWriter, _ *http.Request) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		writeJSON(w, u.ledger)
+	})
+	r.Put("/control/fault", func(w http.ResponseWriter, r *http.Request) {
+		var fault Fault
+		if readJSON(w, r, &fault) {
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			u.cfg.Fault = fault
+		}
+	})
+	r.NotFound(u.call)
+	r.MethodNotAllowed(u.call)
+	return r
+}
+
+func (u *Upstream) announceUntil(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		u.announce(false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (u *Upstream) announce(leaving bool) {
+	body, err := protojson.Marshal(&wirepb.Announcement{
+		Service: u.cfg.Service, Version: u.cfg.Version, Address: u.cfg.Address.String(),
+		Slots: uint32(u.cfg.Slots), Connections: uint32(u.cfg.Connections), Leaving: leaving,
+	})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+u.cfg.Node.String()+"/v1/announcement", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
+// drain tells the node and waits for the calls that run.
+func (u *Upstream) drain() {
+	const drainTime, drainPoll = 5 * time.Second, 10 * time.Millisecond
+	if !u.cfg.Silent {
+		u.announce(true)
+	}
+	for deadline := time.Now().Add(drainTime); time.Now().Before(deadline); time.Sleep(drainPoll) {
+		u.mu.Lock()
+		running := u.running
+		u.mu.Unlock()
+		if running == 0 {
+			return
+		}
+	}
+}
+
+func (u *Upstream) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxUpstreamBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	fault, cold, admitted := u.enter(r)
+	defer u.leave(fault.Kind != FaultNone)
+	if !admitted {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	wait := time.Duration(float64(u.cfg.ServiceTime) * (0.5 + rand.Float64()))
+	if cold {
+		wait += u.cfg.ColdDelay
+	}
+	if fault.Kind == FaultSlow {
+		wait += fault.Delay
+	}
+	if fault.Kind == FaultHanging {
+		<-r.Context().Done()
+		return
+	}
+	rest(r.Context(), wait)
+	u.answer(w, r, body, fault)
+}
+
+func rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// enter notes the execution of a call and returns the fault that it shows.
+func (u *Upstream) enter(r *http.Request) (fault Fault, cold, admitted bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	if u.first.IsZero() {
+		u.first = now
+	}
+	u.running++
+	if u.running > int64(u.cfg.Slots) {
+		return Fault{}, false, false
+	}
+	u.ledger.Calls++
+	u.ledger.LastCall = now.UnixMilli()
+	if u.ledger.FirstFault > 0 {
+		u.ledger.AfterFault++
+	}
+	if id := r.Header.Get(HeaderRequestID); id != "" {
+		u.ledger.Requests[id]++
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		u.ledger.Keys[key]++
+	}
+	age := now.Sub(u.first)
+	if u.cfg.Fault.shows(r.URL.Path, u.running, u.ledger.Calls, age) {
+		u.ledger.Faulty++
+		fault = u.cfg.Fault
+	}
+	return fault, age < u.cfg.ColdStart, true
+}
+
+func (u *Upstream) leave(faulty bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+	if faulty && u.ledger.FirstFault == 0 {
+		u.ledger.FirstFault = time.Now().UnixMilli()
+	}
+}
+
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
+	if fault.Kind == FaultFailing {
+		http.Error(w, "fault", http.StatusInternalServerError)
+		return
+	}
+	id := r.Header.Get(HeaderRequestID)
+	data, err := json.Marshal(Answer{
+		Service: u.cfg.Service, Version: u.cfg.Version, RequestID: id,
+		Digest: Digest(id, body), Pad: string(bytes.Repeat([]byte("x"), padBytes)),
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if fault.Kind == FaultPartial {
+		w.Header().Set("Content-Length", "100000")
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
+// Digest returns the digest that the answer to a request must carry.
+func Digest(requestID string, body []byte) string {
+	sum := sha256.Sum256(append([]byte(requestID+"\n"), body...))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,61 @@
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// FormatError says that a peer sent bytes that are not a message.
+type FormatError struct {
+	Message string
+	Cause   error
+}
+
+func (e *FormatError) Error() string { return fmt.Sprintf("read %s: %v", e.Message, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Cause }
+
+// EncodeError says that a message holds text that cannot be encoded; nothing was sent.
+type EncodeError struct {
+	Message string
+	Cause   error
+}
+
+func (e *EncodeError) Error() string { return fmt.Sprintf("encode %s: %v", e.Message, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
+// Write sends one message in a single write; it returns *EncodeError or the writer's error.
+func Write(w io.Writer, message proto.Message) error {
+	options := proto.MarshalOptions{}
+	size := options.Size(message)
+	buffer := make([]byte, 0, size+binary.MaxVarintLen64)
+	buffer = binary.AppendUvarint(buffer, uint64(size))
+	buffer, err := options.MarshalAppend(buffer, message)
+	if err != nil {
+		return &EncodeError{Message: name(message), Cause: err}
+	}
+	_, err = w.Write(buffer)
+	return errors.Wrap(err, "write message")
+}
+
+// Read receives one message of at most limit bytes; it returns io.EOF between messages or *FormatError.
+func Read(r *bufio.Reader, message proto.Message, limit int64) error {
+	err := protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, message)
+	if err == nil || errors.Is(err, io.EOF) {
+		return err
+	}
+	return &FormatError{Message: name(message), Cause: err}
+}
+
+func name(message proto.Message) string {
+	return string(message.ProtoReflect().Descriptor().Name())
+}
--- /dev/null
+++ b/internal/local/doc.go
@@ -0,0 +1,2 @@
+// Package local serves the upstreams beside this node: their announcements and the calls handed to them.
+package local
--- /dev/null
+++ b/internal/local/registry.go
@@ -0,0 +1,265 @@
+package local
+
+import (
+	"context"
+	"net/netip"
+	"regexp"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	// silenceLimit is how long an upstream may not announce itself before it gets no new work.
+	silenceLimit = 2500 * time.Millisecond
+	// suspectSilence is how long an upstream may be silent before its time-outs are blamed on its process.
+	suspectSilence = 1500 * time.Millisecond
+	expireInterval = 250 * time.Millisecond
+	maxUpstreams   = 64
+	maxSlots       = 4096
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Result is what one call showed of an upstream.
+type Result int
+
+// The results of calls.
+const (
+	ResultOK Result = iota
+	ResultFailed
+	// ResultShed is an answer by which the upstream refuses for overload.
+	ResultShed
+	// ResultAbandoned is a call that the caller gave up; it counts only when it was slow.
+	ResultAbandoned
+	// ResultUnjudged says nothing of the version.
+	ResultUnjudged
+)
+
+// Observation is what one call showed.
+type Observation struct {
+	Service string
+	Version string
+	Route   string
+	Result  Result
+	Took    time.Duration
+	// Cold says that the upstream was in its cold start.
+	Cold bool
+}
+
+// Config configures a Registry.
+type Config struct {
+	Logger *zap.Logger
+	Now    func() time.Time
+	// QueueFactor is the number of waiting calls, in multiples of an upstream's slots.
+	QueueFactor int
+	// MaxBodyBytes bounds an answer.
+	MaxBodyBytes int64
+	// ColdStart returns how long an upstream of a service may be slow after its first call.
+	ColdStart func(service string) time.Duration
+	// Forbid returns why a version gets no call now, or unspecified.
+	Forbid func(service, version string, inFlight int) wirepb.Refusal
+	// Observe takes what each call showed.
+	Observe func(observation Observation)
+	// Changed is called with the upstreams that take calls after they changed.
+	Changed func(upstreams []*wirepb.MemberUpstream)
+}
+
+// Registry holds the upstreams beside this node.
+type Registry struct {
+	cfg Config
+
+	mu        sync.Mutex
+	stopping  bool
+	upstreams map[netip.AddrPort]*upstream
+}
+
+// New returns an empty registry.
+func New(cfg Config) *Registry {
+	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}}
+}
+
+// Announce takes in the announcement of an upstream; it returns *AnnouncementError.
+func (r *Registry) Announce(announcement *wirepb.Announcement) error {
+	address, err := checkAnnouncement(announcement)
+	if err != nil {
+		return err
+	}
+	if r.note(address, announcement) {
+		r.publish()
+	}
+	return nil
+}
+
+func checkAnnouncement(a *wirepb.Announcement) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(a.GetAddress())
+	switch {
+	case err != nil:
+		return address, &AnnouncementError{Field: "address", Value: a.GetAddress(), Allowed: "an IP address and port"}
+	case !namePattern.MatchString(a.GetService()):
+		return address, &AnnouncementError{Field: "service", Value: a.GetService(), Allowed: "the name of a service"}
+	case !namePattern.MatchString(a.GetVersion()):
+		return address, &AnnouncementError{Field: "version", Value: a.GetVersion(), Allowed: "the name of a version"}
+	case a.GetSlots() == 0 || a.GetSlots() > maxSlots:
+		return address, &AnnouncementError{Field: "slots", Value: strconv.FormatUint(uint64(a.GetSlots()), 10), Allowed: "1 to 4096"}
+	case a.GetConnections() < a.GetSlots():
+		return address, &AnnouncementError{Field: "connections", Value: strconv.FormatUint(uint64(a.GetConnections()), 10), Allowed: "at least the number of slots"}
+	}
+	return address, nil
+}
+
+// note reports whether the upstreams that take calls changed.
+func (r *Registry) note(address netip.AddrPort, a *wirepb.Announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.upstreams[address]
+	if found && known.same(a) && !known.leaving {
+		known.heard = r.cfg.Now()
+		if a.GetLeaving() {
+			r.leave(known, "leaving")
+		}
+		return a.GetLeaving()
+	}
+	if a.GetLeaving() || found && known.same(a) && !known.expired || !found && len(r.upstreams) >= maxUpstreams {
+		return false
+	}
+	r.upstreams[address] = newUpstream(address, a, r.cfg)
+	r.cfg.Logger.Info("upstream announced", zap.String("service", a.GetService()), zap.String("version", a.GetVersion()), zap.Stringer("address", address))
+	return true
+}
+
+func (r *Registry) leave(u *upstream, why string) {
+	u.leaving = true
+	u.gate.Close()
+	r.cfg.Logger.Info("upstream left", zap.String("service", u.service), zap.String("version", u.version), zap.Stringer("address", u.address), zap.String("reason", why))
+}
+
+// Expire takes work from upstreams that fell silent, until the context ends.
+func (r *Registry) Expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if r.expireSilent() {
+				r.publish()
+			}
+		}
+	}
+}
+
+func (r *Registry) expireSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for address, u := range r.upstreams {
+		silence := r.cfg.Now().Sub(u.heard)
+		if !u.leaving && silence > silenceLimit {
+			u.expired = true
+			r.leave(u, "silent")
+			changed = true
+		}
+		if u.leaving && u.gate.Running() == 0 && silence > 4*silenceLimit {
+			u.close()
+			delete(r.upstreams, address)
+		}
+	}
+	return changed
+}
+
+func (r *Registry) silent(u *upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.Now().Sub(u.heard) > suspectSilence
+}
+
+func (r *Registry) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*wirepb.MemberUpstream
+	for _, u := range r.upstreams {
+		if !u.leaving && !r.stopping {
+			list = append(list, &wirepb.MemberUpstream{Service: u.service, Version: u.version, Slots: u.slots})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].GetService() != list[j].GetService() {
+			return list[i].GetService() < list[j].GetService()
+		}
+		return list[i].GetVersion() < list[j].GetVersion()
+	})
+	r.cfg.Changed(list)
+}
+
+// Stop refuses new calls and announces that no upstream takes calls; calls that run go on.
+func (r *Registry) Stop() {
+	r.mu.Lock()
+	r.stopping = true
+	for _, u := range r.upstreams {
+		u.gate.Close()
+	}
+	r.mu.Unlock()
+	r.publish()
+}
+
+// InFlight returns the number of calls that upstreams are serving.
+func (r *Registry) InFlight() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := 0
+	for _, u := range r.upstreams {
+		total += u.gate.Running()
+	}
+	return total
+}
+
+// Services returns the services with an upstream beside this node.
+func (r *Registry) Services() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	services := map[string]bool{}
+	for _, u := range r.upstreams {
+		if !u.leaving {
+			services[u.service] = true
+		}
+	}
+	return services
+}
+
+// Status describes all upstreams beside this node.
+func (r *Registry) Status() []*wirepb.UpstreamStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]*wirepb.UpstreamStatus, 0, len(r.upstreams))
+	for _, u := range r.upstreams {
+		list = append(list, &wirepb.UpstreamStatus{
+			Service: u.service, Version: u.version, Address: u.address.String(),
+			Slots: u.slots, InFlight: uint32(u.gate.Running()), Leaving: u.leaving,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].GetAddress() < list[j].GetAddress() })
+	return list
+}
+
+// find returns the least loaded upstream of a version that takes calls, or nil.
+func (r *Registry) find(service, version string) *upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best *upstream
+	for _, u := range r.upstreams {
+		if u.leaving || u.service != service || u.version != version {
+			continue
+		}
+		if best == nil || u.gate.LoadPermille() < best.gate.LoadPermille() {
+			best = u
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter holds the metrics of a node process.
+package meter
--- /dev/null
+++ b/internal/move/forbid.go
@@ -0,0 +1,43 @@
+package move
+
+import (
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+// firstExposure is the number of calls that an upstream of a new version runs at the same time in the first step.
+const firstExposure = 2
+
+// Forbid returns why a version of a service gets no call beside this node, whatever the node of the caller believes.
+func Forbid(service *tree.Service, version string, inFlight int, verdicts *Verdicts, alarmed bool) wirepb.Refusal {
+	if service == nil {
+		return wirepb.Refusal_REFUSAL_NO_UPSTREAM
+	}
+	if service.Record == nil {
+		return allowOnly(version == service.Stable)
+	}
+	record := service.Record
+	if version == record.GetFrom() {
+		return wirepb.Refusal_REFUSAL_UNSPECIFIED
+	}
+	if version != record.GetTo() {
+		return wirepb.Refusal_REFUSAL_EXPOSURE
+	}
+	switch {
+	case record.GetState() == wirepb.MoveState_MOVE_STATE_TAKEN_BACK, verdicts.Condemned(record):
+		return wirepb.Refusal_REFUSAL_WITHDRAWN
+	case record.GetState() == wirepb.MoveState_MOVE_STATE_DONE:
+		return wirepb.Refusal_REFUSAL_UNSPECIFIED
+	case alarmed, record.GetSharePermille() == 0:
+		return wirepb.Refusal_REFUSAL_EXPOSURE
+	default:
+		return allowOnly(record.GetStep() > 0 || inFlight < firstExposure)
+	}
+}
+
+func allowOnly(allowed bool) wirepb.Refusal {
+	if allowed {
+		return wirepb.Refusal_REFUSAL_UNSPECIFIED
+	}
+	return wirepb.Refusal_REFUSAL_EXPOSURE
+}
--- /dev/null
+++ b/internal/move/judge.go
@@ -0,0 +1,193 @@
+package move
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	minBaselineCalls = 20
+	// minSecondCalls is the number of the old version's calls that make a second comparable by itself.
+	minSecondCalls = 3
+	slowPercentile = 0.95
+	slowFactor     = 2
+	slowFloor      = 5 * time.Millisecond
+	// reportAge is how long a report counts after its sender fell silent.
+	reportAge = 3 * time.Second
+)
+
+// routeView is what all nodes together know of one route of a moving service.
+type routeView struct {
+	from history
+	to   history
+	// toTotal is the number of calls of the new version since the declaration.
+	toTotal uint64
+	samples []uint32
+}
+
+// view is what all nodes together know of a moving service, by route.
+type view map[string]*routeView
+
+func newView(record *wirepb.MoveRecord, reports []*wirepb.EvidenceReport) view {
+	v := view{}
+	for _, report := range reports {
+		for _, evidence := range report.GetRoutes() {
+			v.add(record, evidence)
+		}
+	}
+	return v
+}
+
+func (v view) add(record *wirepb.MoveRecord, evidence *wirepb.RouteEvidence) {
+	route, found := v[evidence.GetRoute()]
+	if !found {
+		route = &routeView{from: history{}, to: history{}}
+		v[evidence.GetRoute()] = route
+	}
+	target := route.from
+	switch evidence.GetVersion() {
+	case record.GetFrom():
+		route.samples = append(route.samples, evidence.GetSamplesMicros()...)
+	case record.GetTo():
+		target = route.to
+		route.toTotal += evidence.GetTotalCalls()
+	default:
+		return
+	}
+	for _, s := range evidence.GetSeconds() {
+		target.add(s.GetSecond(), decodeCounts(s))
+	}
+}
+
+// routes returns the names of the routes in order.
+func (v view) routes() []string {
+	names := make([]string, 0, len(v))
+	for name := range v {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// callsPerSecond returns the rate of all calls of the service.
+func (v view) callsPerSecond() float64 {
+	calls := 0.0
+	for _, r := range v {
+		calls += r.from.sum().calls + r.to.sum().calls
+	}
+	return calls / windowSeconds
+}
+
+// finding is the evidence against the new version on one route.
+type finding struct {
+	route  string
+	reason string
+	// weight is the strongest evidence, in nats.
+	weight float64
+}
+
+// judge returns the strongest finding of all routes.
+func (v view) judge(known map[string]*wirepb.RouteBaseline) finding {
+	worst := finding{}
+	for _, name := range v.routes() {
+		if f := v[name].judge(name, known[name]); f.weight > worst.weight {
+			worst = f
+		}
+	}
+	return worst
+}
+
+// judge compares the new version with what the old one showed in the same seconds.
+func (r *routeView) judge(name string, known *wirepb.RouteBaseline) finding {
+	to, expected := r.to.sum(), r.expected(known)
+	failing := failureHypothesis(expected.failureRate()).weigh(to.served(), to.failures)
+	shedding := shedHypothesis(expected.shedRate()).weigh(to.calls, to.sheds)
+	slow := slowHypothesis(expected.slowRate()).weigh(to.warm, to.slow)
+	worst := finding{route: name, reason: "route " + name + " fails", weight: failing}
+	if shedding > worst.weight {
+		worst.reason, worst.weight = "route "+name+" sheds calls", shedding
+	}
+	if slow > worst.weight {
+		worst.reason, worst.weight = "route "+name+" is slow", slow
+	}
+	return worst
+}
+
+// expected returns what the old version would have shown for the calls that the new one got, second by second:
+// a fault that both share is then not held against the new one, whatever its share was at the time.
+func (r *routeView) expected(known *wirepb.RouteBaseline) counts {
+	overall := r.from.sum()
+	if overall.calls < minBaselineCalls && known != nil {
+		overall = countsOf(known)
+	}
+	var sum counts
+	for second, to := range r.to {
+		from := r.from[second]
+		if from.calls < minSecondCalls {
+			from = overall
+		}
+		sum.add(counts{
+			calls:    to.calls,
+			sheds:    to.calls * from.shedRate(),
+			failures: to.served() * from.failureRate(),
+			warm:     to.warm,
+			slow:     to.warm * from.slowRate(),
+		})
+	}
+	return sum
+}
+
+func countsOf(known *wirepb.RouteBaseline) counts {
+	calls := float64(known.GetCalls())
+	sheds := calls * known.GetShedRate()
+	return counts{
+		calls: calls, sheds: sheds, failures: (calls - sheds) * known.GetFailureRate(),
+		warm: calls, slow: calls * known.GetSlowRate(),
+	}
+}
+
+// baselines returns what the old version shows on each route.
+func (v view) baselines(known map[string]*wirepb.RouteBaseline) []*wirepb.RouteBaseline {
+	list := make([]*wirepb.RouteBaseline, 0, len(v))
+	for _, name := range v.routes() {
+		list = append(list, v[name].baseline(name, known[name]))
+	}
+	return list
+}
+
+func (r *routeView) baseline(name string, known *wirepb.RouteBaseline) *wirepb.RouteBaseline {
+	sum := r.from.sum()
+	if sum.calls < minBaselineCalls && known != nil {
+		return known
+	}
+	baseline := &wirepb.RouteBaseline{
+		Route: name, Calls: uint32(sum.calls), FailureRate: sum.failureRate(),
+		ShedRate: sum.shedRate(), SlowRate: sum.slowRate(), Slow: known.GetSlow(),
+	}
+	// The threshold stays for the whole move, so that a slowdown of both versions shows in both.
+	if baseline.Slow == nil && len(r.samples) >= minBaselineCalls {
+		baseline.Slow = durationpb.New(slowThreshold(r.samples))
+	}
+	return baseline
+}
+
+func slowThreshold(samples []uint32) time.Duration {
+	sorted := append([]uint32(nil), samples...)
+	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
+	usual := time.Duration(sorted[int(slowPercentile*float64(len(sorted)-1))]) * time.Microsecond
+	return max(slowFactor*usual, usual+slowFloor)
+}
+
+// shownSince returns the calls of the new version after a total.
+func (r *routeView) shownSince(began uint64) uint64 {
+	if r.toTotal < began {
+		return 0
+	}
+	return r.toTotal - began
+}
+
+func (r *routeView) used() bool { return r.from.sum().calls+r.to.sum().calls > 0 }
--- /dev/null
+++ b/internal/move/plan.go
@@ -0,0 +1,71 @@
+package move
+
+import (
+	"time"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	fullShare    = 1000
+	minStepTime  = time.Second
+	marginPart   = 0.2
+	maxMargin    = 30 * time.Second
+	minMargin    = time.Second
+	maxScarce    = 200
+	scarceFactor = 1.5
+)
+
+// stepShares are the thousandths of calls that go to the new version in each step.
+var stepShares = [...]uint32{10, 50, 200, 500, fullShare}
+
+// stepWeights are the parts of the time before the deadline that the steps before the last one take.
+var stepWeights = [...]float64{0.35, 0.25, 0.2, 0.2}
+
+// Plan holds the times of a move's steps, worked back from its deadline.
+type Plan struct {
+	// Latest is the time at which each step must be left to be in time.
+	Latest [len(stepWeights)]time.Time
+}
+
+// NewPlan returns the plan of a declared move.
+func NewPlan(record *wirepb.MoveRecord) Plan {
+	declared, deadline := record.GetDeclaredAt().AsTime(), record.GetDeadline().AsTime()
+	available := deadline.Sub(declared)
+	margin := min(max(time.Duration(marginPart*float64(available)), minMargin), maxMargin)
+	usable := max(available-margin, 0)
+	plan := Plan{}
+	sum := 0.0
+	for i, w := range stepWeights {
+		sum += w
+		plan.Latest[i] = declared.Add(time.Duration(sum * float64(usable)))
+	}
+	return plan
+}
+
+// StepTime returns how long a step that was entered at a time lasts: until its planned end, but at least a second.
+func (p Plan) StepTime(step uint32, entered time.Time) time.Duration {
+	if int(step) >= len(p.Latest) {
+		return 0
+	}
+	return max(p.Latest[step].Sub(entered), minStepTime)
+}
+
+// Late reports whether the deadline cannot be met any more from a step.
+func Late(record *wirepb.MoveRecord, now time.Time) bool {
+	if record.GetState() != wirepb.MoveState_MOVE_STATE_RUNNING {
+		return record.GetLate()
+	}
+	left := len(stepWeights) - int(record.GetStep())
+	return now.Add(time.Duration(left) * minStepTime).After(record.GetDeadline().AsTime())
+}
+
+// firstShare raises the share of the first step when traffic is so scarce that the step would show too few calls.
+func firstShare(stepCalls uint32, callsPerSecond float64, stepTime time.Duration) uint32 {
+	expected := callsPerSecond * stepTime.Seconds()
+	if expected <= 0 {
+		return stepShares[0]
+	}
+	needed := uint32(min(scarceFactor*float64(stepCalls)/expected*fullShare, maxScarce))
+	return max(stepShares[0], needed)
+}
--- /dev/null
+++ b/internal/move/verdict.go
@@ -0,0 +1,95 @@
+package move
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/turmericdale/turmericdale/internal/news"
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const maxVerdicts = 100_000
+
+// Verdicts holds, for each service, the verdict on its newest declaration that was found bad; it only grows.
+type Verdicts struct {
+	Feed *news.Feed
+
+	mu       sync.RWMutex
+	services map[string]*wirepb.Verdict
+}
+
+// NewVerdicts returns an empty set.
+func NewVerdicts() *Verdicts {
+	return &Verdicts{Feed: news.New(), services: map[string]*wirepb.Verdict{}}
+}
+
+// Merge takes in a verdict and reports whether it is news.
+func (v *Verdicts) Merge(verdict *wirepb.Verdict) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known, found := v.services[verdict.GetService()]
+	if found && known.GetDeclaredRevision() >= verdict.GetDeclaredRevision() || !found && len(v.services) >= maxVerdicts {
+		return false
+	}
+	v.services[verdict.GetService()] = verdict
+	v.Feed.Add(verdict.GetService())
+	return true
+}
+
+// Get returns the newest verdict of a service, or nil.
+func (v *Verdicts) Get(service string) *wirepb.Verdict {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.services[service]
+}
+
+// List returns all verdicts, or those of some services.
+func (v *Verdicts) List(services ...string) []*wirepb.Verdict {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if len(services) == 0 {
+		for name := range v.services {
+			services = append(services, name)
+		}
+		sort.Strings(services)
+	}
+	list := make([]*wirepb.Verdict, 0, len(services))
+	for _, s := range services {
+		if verdict, found := v.services[s]; found {
+			list = append(list, verdict)
+		}
+	}
+	return list
+}
+
+// Condemned reports whether the record's declaration was found bad.
+func (v *Verdicts) Condemned(record *wirepb.MoveRecord) bool {
+	verdict := v.Get(record.GetService())
+	return verdict != nil && verdict.GetDeclaredRevision() == record.GetDeclaredRevision()
+}
+
+// Share returns the thousandths of a service's calls that go to the version it moves to.
+func (v *Verdicts) Share(service *tree.Service) uint32 {
+	if !service.Moving() || v.Condemned(service.Record) {
+		return 0
+	}
+	return service.Record.GetSharePermille()
+}
+
+// Current returns the version that takes the calls outside the share.
+func (v *Verdicts) Current(service *tree.Service) string {
+	if service.Record != nil && v.Condemned(service.Record) {
+		return service.Record.GetFrom()
+	}
+	return service.Stable
+}
+
+// InForce returns the record as it is in force: a condemned move is back, also before the platform has recorded it.
+func (v *Verdicts) InForce(record *wirepb.MoveRecord, now time.Time) *wirepb.MoveRecord {
+	if record.GetState() == wirepb.MoveState_MOVE_STATE_TAKEN_BACK || !v.Condemned(record) {
+		return record
+	}
+	return TakenBack(record, v.Get(record.GetService()).GetReason()+", not recorded yet", now)
+}
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericdale/turmericdale/internal/admin"
+	"github.com/turmericdale/turmericdale/internal/chain"
+	"github.com/turmericdale/turmericdale/internal/claim"
+	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/local"
+	"github.com/turmericdale/turmericdale/internal/member"
+	"github.com/turmericdale/turmericdale/internal/meter"
+	"github.com/turmericdale/turmericdale/internal/move"
+	"github.com/turmericdale/turmericdale/internal/peer"
+	"github.com/turmericdale/turmericdale/internal/relay"
+	"github.com/turmericdale/turmericdale/internal/route"
+	"github.com/turmericdale/turmericdale/internal/store"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+// New wires a node from its settings.
+func New(settings *conf.Node, logger *zap.Logger) (*Node, error) {
+	container := dig.New()
+	constructors := []any{
+		func() *conf.Node { return settings },
+		func() *zap.Logger { return logger },
+		func() clock { return time.Now },
+		meter.New, move.NewVerdicts,
+		newStore, newLog, newMembers, newPool, newMeter, newMover, newRegistry, newHub,
+		newPicker, newClaims, newProxy, newStatus, newAdmin, newNode,
+	}
+	for _, c := range constructors {
+		if err := container.Provide(c); err != nil {
+			return nil, errors.Wrap(err, "wire node")
+		}
+	}
+	var n *Node
+	err := container.Invoke(func(built *Node) { n = built })
+	return n, errors.Wrap(err, "build node")
+}
+
+type clock func() time.Time
+
+func newStore(s *conf.Node) *store.Client {
+	return store.New(store.Config{Address: s.PlatformAddress})
+}
+
+func newLog(client *store.Client, logger *zap.Logger, now clock) *chain.Log {
+	return chain.New(chain.Config{Store: client, Logger: logger, Now: now})
+}
+
+func newMembers(s *conf.Node, now clock) *member.Table {
+	return member.New(member.Config{Now: now, Self: &wirepb.MemberRecord{
+		Node: s.Name, Life: uint64(now().UnixNano()), Sequence: 1, Region: s.Region,
+		DataCentre: s.DataCentre, PeerAddress: s.PeerAddress.String(),
+	}})
+}
+
+func newPool(now clock) *peer.Pool { return peer.NewPool(peer.PoolConfig{Now: now}) }
+
+// moverLink breaks the circle between the meter, which raises alarms, and the mover, which reads the meter.
+type moverLink struct {
+	mover *move.Mover
+}
+
+func newMeter(now clock, log *chain.Log) (*move.Meter, *moverLink) {
+	link := &moverLink{}
+	return move.NewMeter(move.MeterConfig{
+		Now: now, State: log.State,
+		Alarm: func(service string) { link.mover.Alarm(service) },
+	}), link
+}
+
+func newMover(s *conf.Node, logger *zap.Logger, now clock, log *chain.Log, members *member.Table,
+	verdicts *move.Verdicts, evidence *move.Meter, pool *peer.Pool, metrics *meter.Meter, link *moverLink,
+) *move.Mover {
+	link.mover = move.New(move.Config{
+		Node: s.Name, Policy: s.MovePolicy, Logger: logger, Now: now, Log: log,
+		Members: members, Verdicts: verdicts, Meter: evidence,
+		Report: func(ctx context.Context, address netip.AddrPort, report *wirepb.EvidenceReport) (*wirepb.EvidenceReply, error) {
+			metrics.Evidence(proto.Size(report))
+			return sendEvidence(ctx, pool, address, report)
+		},
+	})
+	return link.mover
+}
+
+const maxEvidenceBytes = 1 << 20
+
+func sendEvidence(ctx context.Context, pool *peer.Pool, address netip.AddrPort, report *wirepb.EvidenceReport) (*wirepb.EvidenceReply, error) {
+	stream, err := pool.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	if err := frame.Write(stream, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Evidence{Evidence: report}}); err != nil {
+		return nil, err
+	}
+	reply := &wirepb.EvidenceReply{}
+	return reply, frame.Read(bufio.NewReader(stream), reply, maxEvidenceBytes)
+}
+
+func newRegistry(s *conf.Node, logger *zap.Logger, now clock, log *chain.Log, members *member.Table,
+	verdicts *move.Verdicts, evidence *move.Meter,
+) *local.Registry {
+	return local.New(local.Config{
+		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
+		Observe: evidence.Observe,
+		ColdStart: func(service string) time.Duration {
+			if known, found := log.State().Services[service]; found {
+				return known.ColdStart
+			}
+			return 0
+		},
+		Forbid: func(service, version string, inFlight int) wirepb.Refusal {
+			if s.MovePolicy == move.PolicyClock {
+				return wirepb.Refusal_REFUSAL_UNSPECIFIED
+			}
+			return move.Forbid(log.State().Services[service], version, inFlight, verdicts, evidence.Alarmed(service))
+		},
+		Changed: func(upstreams []*wirepb.MemberUpstream) {
+			members.Update(func(record *wirepb.MemberRecord) { record.Upstreams = upstreams })
+		},
+	})
+}
+
+func newHub(s *conf.Node, logger *zap.Logger, now clock, client *store.Client, log *chain.Log,
+	members *member.Table, verdicts *move.Verdicts, pool *peer.Pool,
+) *relay.Hub {
+	return relay.New(relay.Config{
+		Node: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, Seeds: s.Seeds,
+		MaxChildren: s.MaxChildren, PollInterval: s.PollInterval, Logger: logger, Now: now,
+		Store: client, Log: log, Members: members, Verdicts: verdicts, Pool: pool,
+	})
+}
+
+func newPicker(s *conf.Node, now clock, members *member.Table, pool *peer.Pool) *route.Picker {
+	return route.NewPicker(route.PickerConfig{
+		Node: s.Name, DataCentre: s.DataCentre, Region: s.Region, Policy: s.PickPolicy, SubsetSize: s.SubsetSize,
+		Now: now, Upstreams: members.Upstreams, Warm: pool.Warm,
+	})
+}
+
+func newClaims(client *store.Client, now clock) *claim.Book {
+	return claim.New(claim.Config{Store: client, Now: now})
+}
+
+func newProxy(s *conf.Node, now clock, log *chain.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
+	registry *local.Registry, claims *claim.Book, metrics *meter.Meter,
+) *route.Proxy {
+	return route.New(route.Config{
+		Node: s.Name, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
+		Picker: picker, Pool: pool, Local: registry, Claims: claims,
+		Observe: metrics.Call, Garbage: func() { metrics.Garbage("caller") }, Retried: metrics.Retried,
+	})
+}
+
+func newAdmin(s *conf.Node, now clock, log *chain.Log, verdicts *move.Verdicts, mover *move.Mover, metrics *meter.Meter, status *statusSource) *admin.Server {
+	return admin.New(admin.Config{
+		AdminTokenSHA256: s.AdminTokenSHA256, Now: now, Log: log, Verdicts: verdicts,
+		TakeBack: mover.TakeBack, Status: status.read, Ready: status.ready,
+		Metrics: metrics.Handler(), Garbage: func() { metrics.Garbage("admin") },
+	})
+}
+
+func newNode(in parts) (*Node, error) {
+	n := &Node{
+		settings: in.Settings, logger: in.Logger, now: in.Now, store: in.Store, log: in.Log, members: in.Members,
+		verdicts: in.Verdicts, pool: in.Pool, mover: in.Mover, registry: in.Registry, hub: in.Hub, picker: in.Picker,
+		claims: in.Claims, proxy: in.Proxy, admin: in.Admin, metrics: in.Metrics,
+	}
+	in.Status.node = n
+	n.register()
+	return n, n.listen()
+}
+
+// listener opens one of the node's addresses.
+func listener(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, &peer.ListenError{Address: address.String(), Cause: err}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,224 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/dig"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/turmericdale/turmericdale/internal/admin"
+	"github.com/turmericdale/turmericdale/internal/chain"
+	"github.com/turmericdale/turmericdale/internal/claim"
+	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/local"
+	"github.com/turmericdale/turmericdale/internal/member"
+	"github.com/turmericdale/turmericdale/internal/meter"
+	"github.com/turmericdale/turmericdale/internal/move"
+	"github.com/turmericdale/turmericdale/internal/peer"
+	"github.com/turmericdale/turmericdale/internal/relay"
+	"github.com/turmericdale/turmericdale/internal/route"
+	"github.com/turmericdale/turmericdale/internal/store"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeaders    = 32 << 10
+	headReserve   = 256 << 10
+	trimInterval  = time.Hour
+	trimPause     = time.Second
+)
+
+// parts are what a node is wired from.
+type parts struct {
+	dig.In
+
+	Settings *conf.Node
+	Logger   *zap.Logger
+	Now      clock
+	Store    *store.Client
+	Log      *chain.Log
+	Members  *member.Table
+	Verdicts *move.Verdicts
+	Pool     *peer.Pool
+	Mover    *move.Mover
+	Registry *local.Registry
+	Hub      *relay.Hub
+	Picker   *route.Picker
+	Claims   *claim.Book
+	Proxy    *route.Proxy
+	Admin    *admin.Server
+	Metrics  *meter.Meter
+	Status   *statusSource
+}
+
+// Node is one node process.
+type Node struct {
+	settings *conf.Node
+	logger   *zap.Logger
+	now      clock
+	store    *store.Client
+	log      *chain.Log
+	members  *member.Table
+	verdicts *move.Verdicts
+	pool     *peer.Pool
+	mover    *move.Mover
+	registry *local.Registry
+	hub      *relay.Hub
+	picker   *route.Picker
+	claims   *claim.Book
+	proxy    *route.Proxy
+	admin    *admin.Server
+	metrics  *meter.Meter
+
+	stopping atomic.Bool
+	peers    *peer.Server
+	callers  net.Listener
+	admins   net.Listener
+	locals   net.Listener
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.callers, err = listener(n.settings.CallerAddress); err != nil {
+		return err
+	}
+	if n.admins, err = listener(n.settings.AdminAddress); err != nil {
+		return err
+	}
+	if n.locals, err = listener(n.settings.AnnounceAddress); err != nil {
+		return err
+	}
+	peers, err := listener(n.settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	n.peers = peer.NewServer(peer.ServerConfig{
+		Listener: peers, MaxHeadBytes: n.settings.MaxBodyBytes + headReserve,
+		Call: n.takeCall, Link: n.hub.Accept, Evidence: n.takeEvidence,
+	})
+	return nil
+}
+
+// takeCall serves a call that another node hands over and cancels it when that node gives it up.
+func (n *Node) takeCall(ctx context.Context, conn net.Conn, head *wirepb.CallHead) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		_, _ = conn.Read(make([]byte, 1))
+		cancel()
+	}()
+	answer := n.registry.Call(ctx, head)
+	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_WITHDRAWN {
+		answer.Verdicts = n.verdicts.List(head.GetService())
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(headerTimeout))
+	_ = frame.Write(conn, answer)
+}
+
+func (n *Node) takeEvidence(conn net.Conn, report *wirepb.EvidenceReport) {
+	_ = conn.SetWriteDeadline(time.Now().Add(headerTimeout))
+	_ = frame.Write(conn, n.mover.Take(report))
+}
+
+// Run serves until the context ends, then stops gracefully; it reports a stop that had to cut calls as *CutError.
+func (n *Node) Run(ctx context.Context) error {
+	n.logger.Info("node starts", zap.String("node", n.settings.Name), zap.String("data_centre", n.settings.DataCentre))
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	servers := n.start(group, background)
+	var stopped error
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			stopped = n.drain()
+		case <-background.Done():
+		}
+		n.shutdown(servers)
+		stopBackground()
+		return nil
+	})
+	err := group.Wait()
+	n.pool.Close()
+	n.store.Close()
+	n.logger.Info("node stopped", zap.Error(stopped))
+	if err != nil {
+		return errors.Wrap(err, "run node")
+	}
+	return stopped
+}
+
+// start runs all tasks of the node and returns its HTTP servers.
+func (n *Node) start(group *errgroup.Group, ctx context.Context) []*http.Server {
+	run := func(task func(ctx context.Context)) {
+		group.Go(func() error {
+			task(ctx)
+			return nil
+		})
+	}
+	run(n.log.Commit)
+	run(n.hub.Run)
+	run(n.mover.Run)
+	run(n.registry.Expire)
+	run(n.trimClaims)
+	run(func(ctx context.Context) { n.picker.Run(ctx, n.members.Feed.Changed) })
+	group.Go(func() error { return n.peers.Serve(ctx) })
+	return []*http.Server{
+		n.serve(group, n.callers, n.closing(n.proxy)),
+		n.serve(group, n.admins, n.closing(n.admin.Handler())),
+		n.serve(group, n.locals, n.announcements()),
+	}
+}
+
+func (n *Node) serve(group *errgroup.Group, l net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders,
+		ErrorLog: zap.NewStdLog(zap.NewNop()),
+	}
+	group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve "+l.Addr().String())
+		}
+		return nil
+	})
+	return server
+}
+
+// closing ends a connection after its answer while the node stops, so that the caller sends nothing into a closed one.
+func (n *Node) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// trimClaims removes keys of past days as long as this node is a relay.
+func (n *Node) trimClaims(ctx context.Context) {
+	ticker := time.NewTicker(trimInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for more := n.hub.Relay(); more && ctx.Err() == nil; {
+			var err error
+			if more, err = n.claims.Trim(ctx); err != nil {
+				break
+			}
+			time.Sleep(trimPause)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"io"
+	"net/http"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/turmericdale/turmericdale/internal/relay"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const maxAnnouncementBytes = 16 << 10
+
+// statusSource breaks the circle between the admin API, which shows the status, and the node, which has it.
+type statusSource struct {
+	node *Node
+}
+
+func newStatus() *statusSource { return &statusSource{} }
+
+func (s *statusSource) read() *wirepb.NodeStatus {
+	n := s.node
+	sum := n.hub.Summary()
+	status := &wirepb.NodeStatus{
+		Name: n.settings.Name, Region: n.settings.Region, DataCentre: n.settings.DataCentre,
+		AppliedRevision: n.log.State().Revision, KnownRevision: n.log.Known(),
+		Relay: n.hub.Relay(), Links: uint32(n.hub.Links()), PlatformUp: n.store.Up(),
+		Upstreams: n.registry.Status(), Members: uint32(n.members.Live()),
+		SubtreeNodes: sum.Nodes, SubtreeOldestRevision: sum.OldestRevision, SubtreeRefusals: sum.Refusals,
+	}
+	if refusal := n.log.Refused(); refusal != nil {
+		status.RefusedReason = refusal.Reason
+	}
+	return status
+}
+
+func (s *statusSource) ready() bool {
+	return !s.node.stopping.Load() && s.node.log.State().Revision > 0
+}
+
+// announcements serves the upstreams beside this node.
+func (n *Node) announcements() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/announcement", func(w http.ResponseWriter, r *http.Request) {
+		announcement := &wirepb.Announcement{}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+		if err == nil {
+			err = protojson.Unmarshal(body, announcement)
+		}
+		if err == nil {
+			err = n.registry.Announce(announcement)
+		}
+		if err != nil {
+			n.metrics.Garbage("announce")
+			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		}
+	})
+	return mux
+}
+
+// register adds the counts that the parts keep themselves to the metrics.
+func (n *Node) register() {
+	m := n.metrics
+	m.Gauge("applied_revision", "Revision of the configuration in force.", func() float64 { return float64(n.log.State().Revision) })
+	m.Gauge("known_revision", "Newest revision heard of.", func() float64 { return float64(n.log.Known()) })
+	m.Gauge("members", "Nodes that are not down.", func() float64 { return float64(n.members.Live()) })
+	m.Gauge("links", "Links to other nodes.", func() float64 { return float64(n.hub.Links()) })
+	m.Gauge("sessions", "Sessions to other nodes.", func() float64 { return float64(n.pool.Sessions()) })
+	m.Gauge("calls_running", "Callers' requests being served.", func() float64 { return float64(n.proxy.InFlight()) })
+	m.Gauge("platform_up", "Whether the newest operation reached the platform.", func() float64 {
+		if n.store.Up() {
+			return 1
+		}
+		return 0
+	})
+	m.Counter("platform_reads_total", "Reads of the platform.", nil, func() float64 { return float64(n.store.Counters.Reads.Load()) })
+	m.Counter("platform_writes_total", "Writes to the platform.", nil, func() float64 { return float64(n.store.Counters.Writes.Load()) })
+	m.Counter("platform_failures_total", "Operations that did not reach the platform.", nil, func() float64 { return float64(n.store.Counters.Failures.Load()) })
+	m.Counter("peer_refused_total", "Sessions and streams of nodes refused for their form.", nil, func() float64 { return float64(n.peers.Rejected.Load()) })
+	for kind, name := range relay.KindNames {
+		labels := map[string]string{"kind": name}
+		m.Counter("control_sent_bytes_total", "Bytes of link messages sent, by kind.", labels, func() float64 { return float64(n.hub.Counters.SentBytes[kind].Load()) })
+		m.Counter("control_sent_messages_total", "Link messages sent, by kind.", labels, func() float64 { return float64(n.hub.Counters.SentFrames[kind].Load()) })
+		m.Counter("control_received_bytes_total", "Bytes of link messages received, by kind.", labels, func() float64 { return float64(n.hub.Counters.ReceivedBytes[kind].Load()) })
+	}
+}
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	drainPoll = 10 * time.Millisecond
+	// quietTime is how long no caller may have sent anything before the listeners close.
+	quietTime = 500 * time.Millisecond
+	// lingerTime lets answers and the news of the leave reach the other nodes.
+	lingerTime    = 200 * time.Millisecond
+	closeTimeout  = time.Second
+	shortestDrain = 300 * time.Millisecond
+)
+
+// CutError says how many calls were still running when the bounded wait of a planned stop ended.
+type CutError struct {
+	Calls int
+	Wait  time.Duration
+}
+
+func (e *CutError) Error() string {
+	return fmt.Sprintf("stopped with %d calls running after waiting %s", e.Calls, e.Wait)
+}
+
+// drain takes this node out of service: it announces the leave, serves what still comes, and waits until nothing runs.
+func (n *Node) drain() error {
+	n.stopping.Store(true)
+	n.logger.Info("node stops", zap.Int("running", n.running()))
+	n.registry.Stop()
+	n.hub.Leave(context.Background())
+	started := n.now()
+	idleSince := started
+	for n.now().Sub(started) < n.settings.StopTimeout {
+		if n.running() > 0 {
+			idleSince = n.now()
+		}
+		if n.now().Sub(idleSince) >= quietTime && n.now().Sub(started) >= shortestDrain {
+			return nil
+		}
+		time.Sleep(drainPoll)
+	}
+	if running := n.running(); running > 0 {
+		return &CutError{Calls: running, Wait: n.settings.StopTimeout}
+	}
+	return nil
+}
+
+func (n *Node) running() int { return n.proxy.InFlight() + n.registry.InFlight() }
+
+func (n *Node) shutdown(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(ctx)
+		_ = s.Close()
+	}
+	time.Sleep(lingerTime)
+}
--- /dev/null
+++ b/internal/peer/errors.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// DialError says that no session to a node could be had; nothing was sent.
+type DialError struct {
+	Address netip.AddrPort
+	Cause   error
+}
+
+func (e *DialError) Error() string { return fmt.Sprintf("connect to node %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Cause }
+
+// BackoffError says that a node failed a short time ago and is not tried yet.
+type BackoffError struct{}
+
+func (e *BackoffError) Error() string { return "waiting after a failed connection" }
+
+// ClosedError says that the pool is closed.
+type ClosedError struct{}
+
+func (e *ClosedError) Error() string { return "connections are closed" }
+
+// KindError says that a stream opened with an unknown kind of message.
+type KindError struct{}
+
+func (e *KindError) Error() string { return "stream opened with an unknown kind" }
+
+// ListenError says that an address cannot be listened on.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+func (e *ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,253 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	dialTimeout   = time.Second
+	watchInterval = 250 * time.Millisecond
+	idleTimeout   = 2 * time.Minute
+	firstBackoff  = 100 * time.Millisecond
+	maxBackoff    = 2 * time.Second
+)
+
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	// Dial opens a connection to a node; nil means TCP.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Now  func() time.Time
+}
+
+// Pool keeps one session to each node that this node talks to.
+type Pool struct {
+	dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	now  func() time.Time
+
+	mu       sync.Mutex
+	closed   bool
+	sessions map[netip.AddrPort]*session
+	wait     sync.WaitGroup
+}
+
+type session struct {
+	address netip.AddrPort
+	ready   chan struct{}
+	mux     *yamux.Session
+	err     error
+
+	failures int
+	retryAt  time.Time
+	inFlight atomic.Int64
+	// lastUsed is in nanoseconds.
+	lastUsed atomic.Int64
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg PoolConfig) *Pool {
+	if cfg.Dial == nil {
+		cfg.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+		}
+	}
+	return &Pool{dial: cfg.Dial, now: cfg.Now, sessions: map[netip.AddrPort]*session{}}
+}
+
+// Stream is one conversation with a node; closing it also ends it at the other side.
+type Stream struct {
+	net.Conn
+	session *session
+	once    sync.Once
+}
+
+// Close ends the stream.
+func (s *Stream) Close() error {
+	var err error
+	s.once.Do(func() {
+		err = s.Conn.Close()
+		s.session.inFlight.Add(-1)
+	})
+	return err
+}
+
+// Open opens a stream to a node, dialling if need be; it returns *DialError, after which nothing was sent.
+func (p *Pool) Open(ctx context.Context, address netip.AddrPort) (*Stream, error) {
+	s, err := p.session(address)
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	select {
+	case <-s.ready:
+	case <-ctx.Done():
+		return nil, &DialError{Address: address, Cause: ctx.Err()}
+	}
+	if s.err != nil {
+		return nil, &DialError{Address: address, Cause: s.err}
+	}
+	stream, err := s.mux.OpenStream()
+	if err != nil {
+		p.drop(s)
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	now := p.now().UnixNano()
+	s.lastUsed.Store(now)
+	s.inFlight.Add(1)
+	return &Stream{Conn: stream, session: s}, nil
+}
+
+// Warm connects to a node in the background, so that no call waits for it.
+func (p *Pool) Warm(address netip.AddrPort) {
+	if s, err := p.session(address); err == nil {
+		s.lastUsed.Store(p.now().UnixNano())
+	}
+}
+
+// Ready reports whether a session to the node is open.
+func (p *Pool) Ready(address netip.AddrPort) bool {
+	p.mu.Lock()
+	s := p.sessions[address]
+	p.mu.Unlock()
+	if s == nil {
+		return false
+	}
+	select {
+	case <-s.ready:
+		return s.err == nil && !s.mux.IsClosed()
+	default:
+		return false
+	}
+}
+
+// Sessions returns the number of sessions that are open or being opened.
+func (p *Pool) Sessions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
+
+func (p *Pool) session(address netip.AddrPort) (*session, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, &ClosedError{}
+	}
+	failures := 0
+	if s, found := p.sessions[address]; found {
+		if !s.broken() {
+			return s, nil
+		}
+		if p.now().Before(s.retryAt) {
+			return nil, &BackoffError{}
+		}
+		failures = s.failures
+	}
+	s := &session{address: address, ready: make(chan struct{}), failures: failures}
+	s.lastUsed.Store(p.now().UnixNano())
+	p.sessions[address] = s
+	p.wait.Add(1)
+	go p.run(s)
+	return s, nil
+}
+
+func (s *session) broken() bool {
+	select {
+	case <-s.ready:
+		return s.err != nil || s.mux.IsClosed()
+	default:
+		return false
+	}
+}
+
+// run dials a session and watches it until it ends.
+func (p *Pool) run(s *session) {
+	defer p.wait.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, s.address)
+	if err == nil {
+		s.mux, err = yamux.Client(conn, sessionConfig())
+	}
+	if err != nil {
+		s.err = err
+		s.failures++
+		s.retryAt = p.now().Add(backoff(s.failures))
+		close(s.ready)
+		return
+	}
+	s.failures = 0
+	close(s.ready)
+	if p.isClosed() {
+		_ = s.mux.Close()
+	}
+	p.watch(s)
+	p.drop(s)
+}
+
+func backoff(failures int) time.Duration {
+	ceiling := min(firstBackoff<<min(failures, 8), maxBackoff)
+	return ceiling/2 + rand.N(ceiling/2)
+}
+
+// watch pings a session whose streams have waited for a while and closes it when the ping fails or it is idle.
+func (p *Pool) watch(s *session) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return
+		case <-ticker.C:
+		}
+		now := p.now().UnixNano()
+		if s.inFlight.Load() == 0 {
+			if now-s.lastUsed.Load() > int64(idleTimeout) {
+				return
+			}
+			continue
+		}
+		if _, err := s.mux.Ping(); err != nil {
+			return
+		}
+	}
+}
+
+func (p *Pool) drop(s *session) {
+	_ = s.mux.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sessions[s.address] == s {
+		delete(p.sessions, s.address)
+	}
+}
+
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+// Close ends all sessions and waits for their tasks.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	sessions := make([]*session, 0, len(p.sessions))
+	for _, s := range p.sessions {
+		sessions = append(sessions, s)
+	}
+	p.mu.Unlock()
+	for _, s := range sessions {
+		<-s.ready
+		if s.mux != nil {
+			_ = s.mux.Close()
+		}
+	}
+	p.wait.Wait()
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,138 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	headTimeout = 5 * time.Second
+	maxSessions = 4096
+)
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Listener net.Listener
+	// MaxHeadBytes bounds the first message of a stream, a call's body included.
+	MaxHeadBytes int64
+	Call         func(ctx context.Context, conn net.Conn, head *wirepb.CallHead)
+	Link         func(ctx context.Context, conn net.Conn, reader *bufio.Reader, hello *wirepb.LinkHello)
+	Evidence     func(conn net.Conn, report *wirepb.EvidenceReport)
+}
+
+// Server accepts sessions of other nodes and hands each stream to the handler of its kind.
+type Server struct {
+	// Rejected counts sessions and streams that were refused or sent garbage.
+	Rejected atomic.Uint64
+
+	cfg      ServerConfig
+	mu       sync.Mutex
+	sessions map[*yamux.Session]bool
+	wait     sync.WaitGroup
+}
+
+// NewServer returns a server that is not yet accepting.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{cfg: cfg, sessions: map[*yamux.Session]bool{}}
+}
+
+// Serve accepts sessions until the context ends, then waits for all their streams.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
+	defer stop()
+	defer s.wait.Wait()
+	for {
+		conn, err := s.cfg.Listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept session")
+		}
+		s.wait.Go(func() { s.serveSession(ctx, conn) })
+	}
+}
+
+func (s *Server) serveSession(ctx context.Context, conn net.Conn) {
+	mux, err := yamux.Server(conn, sessionConfig())
+	if err != nil || !s.add(mux) {
+		s.Rejected.Add(1)
+		_ = conn.Close()
+		return
+	}
+	defer s.remove(mux)
+	stop := context.AfterFunc(ctx, func() { _ = mux.Close() })
+	defer stop()
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			if ctx.Err() == nil && !isEnd(err) {
+				s.Rejected.Add(1)
+			}
+			return
+		}
+		s.wait.Go(func() { s.serveStream(ctx, stream) })
+	}
+}
+
+func isEnd(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrSessionShutdown) || errors.As(err, &network)
+}
+
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+	defer func() { _ = stream.Close() }()
+	reader := bufio.NewReader(stream)
+	head := &wirepb.StreamHead{}
+	_ = stream.SetReadDeadline(time.Now().Add(headTimeout))
+	if err := frame.Read(reader, head, s.cfg.MaxHeadBytes); err != nil {
+		s.Rejected.Add(1)
+		return
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	switch kind := head.GetKind().(type) {
+	case *wirepb.StreamHead_Call:
+		s.cfg.Call(ctx, stream, kind.Call)
+	case *wirepb.StreamHead_Link:
+		s.cfg.Link(ctx, stream, reader, kind.Link)
+	case *wirepb.StreamHead_Evidence:
+		s.cfg.Evidence(stream, kind.Evidence)
+	default:
+		s.Rejected.Add(1)
+	}
+}
+
+func (s *Server) add(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sessions) >= maxSessions {
+		return false
+	}
+	s.sessions[mux] = true
+	return true
+}
+
+func (s *Server) remove(mux *yamux.Session) {
+	_ = mux.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, mux)
+}
+
+// Sessions returns the number of open sessions.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
--- /dev/null
+++ b/internal/relay/lease.go
@@ -0,0 +1,296 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	leasePrefix = "relay/"
+	relaySlots  = 2
+	maxLeases   = 1000
+	// leaseTime is how long a lease counts after an observer last saw it renewed, by the observer's own clock.
+	leaseTime = 5 * time.Second
+	// renewEvery is the number of polls between two renewals.
+	renewEvery   = 2
+	leaveTimeout = time.Second
+	// lostAfter is how long all leases of a data centre must be lapsed before its nodes count as lost.
+	lostAfter = time.Minute
+)
+
+// observedLease is a relay row with the time at which this node last saw it change.
+type observedLease struct {
+	key     string
+	version uint64
+	lease   *wirepb.RelayLease
+	changed time.Time
+}
+
+// keepLease follows the platform as long as this node is a relay or has no link, until the context ends.
+func (h *Hub) keepLease(ctx context.Context) {
+	rounds := 0
+	for ctx.Err() == nil {
+		if h.needsPlatform() {
+			h.followPlatform(ctx, rounds)
+			rounds++
+		}
+		pause(ctx, h.cfg.PollInterval/2+rand.N(h.cfg.PollInterval))
+	}
+}
+
+func (h *Hub) needsPlatform() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.leaving {
+		return false
+	}
+	if h.relay || h.promoted {
+		return true
+	}
+	for _, l := range h.links {
+		if l.dialled {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Hub) followPlatform(ctx context.Context, round int) {
+	wasUp := h.cfg.Store.Up()
+	err := h.readLeases(ctx)
+	if up := h.cfg.Store.Up(); up != wasUp {
+		h.cfg.Logger.Info("platform changed", zap.Bool("up", up))
+	}
+	if err != nil {
+		return
+	}
+	switch key, free := h.freeSlot(); {
+	case h.Relay() && round%renewEvery == 0:
+		h.renew(ctx)
+	case !h.Relay() && free:
+		h.claim(ctx, key)
+	default:
+		h.settle()
+	}
+	if err := h.cfg.Log.Sync(ctx); err != nil && h.cfg.Store.Up() {
+		h.cfg.Logger.Warn("platform not followed", zap.Error(err))
+	}
+}
+
+func (h *Hub) readLeases(ctx context.Context) error {
+	rows, err := h.cfg.Store.Range(ctx, leasePrefix, "", maxLeases)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := map[string]bool{}
+	for _, row := range rows {
+		seen[row.GetKey()] = true
+		h.observe(row)
+	}
+	for key := range h.leases {
+		if !seen[key] {
+			delete(h.leases, key)
+		}
+	}
+	return nil
+}
+
+func (h *Hub) observe(row *wirepb.Row) {
+	known := h.leases[row.GetKey()]
+	if known != nil && known.version == row.GetVersion() {
+		return
+	}
+	lease := &wirepb.RelayLease{}
+	if err := proto.Unmarshal(row.GetValue(), lease); err != nil {
+		return
+	}
+	h.leases[row.GetKey()] = &observedLease{key: row.GetKey(), version: row.GetVersion(), lease: lease, changed: h.cfg.Now()}
+}
+
+func (h *Hub) fresh(o *observedLease) bool { return h.cfg.Now().Sub(o.changed) < leaseTime }
+
+// freshLeases returns the leases that have not lapsed, ordered by key.
+func (h *Hub) freshLeases() []*observedLease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []*observedLease
+	for _, o := range h.leases {
+		if h.fresh(o) || !h.relay {
+			list = append(list, o)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].key < list[j].key })
+	return list
+}
+
+func (h *Hub) slotKey(slot int) string {
+	return leasePrefix + h.cfg.DataCentre + "/" + strconv.Itoa(slot)
+}
+
+// freeSlot returns a relay slot of the data centre that nobody holds; the first two nodes take both.
+func (h *Hub) freeSlot() (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for slot := range relaySlots {
+		key := h.slotKey(slot)
+		if o := h.leases[key]; o == nil || !h.fresh(o) || o.lease.GetNode() == h.cfg.Node {
+			return key, true
+		}
+	}
+	return "", false
+}
+
+// settle forgets a promotion when no slot is free any more.
+func (h *Hub) settle() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.promoted = false
+}
+
+func (h *Hub) newLease(renewals uint64) *wirepb.RelayLease {
+	return &wirepb.RelayLease{
+		Node: h.cfg.Node, PeerAddress: h.cfg.PeerAddress.String(),
+		DataCentre: h.cfg.DataCentre, Renewals: renewals,
+	}
+}
+
+// put writes a relay row if nobody else wrote it since it was read.
+func (h *Hub) put(ctx context.Context, key string, lease *wirepb.RelayLease) (bool, error) {
+	value, err := proto.Marshal(lease)
+	if err != nil {
+		return false, err
+	}
+	h.mu.Lock()
+	version := uint64(0)
+	if o := h.leases[key]; o != nil {
+		version = o.version
+	}
+	h.mu.Unlock()
+	return h.cfg.Store.Transact(ctx, &wirepb.Transaction{
+		Conditions: []*wirepb.Condition{{Key: key, Version: version}},
+		Puts:       []*wirepb.Row{{Key: key, Value: value}},
+	})
+}
+
+func (h *Hub) claim(ctx context.Context, key string) {
+	taken, err := h.put(ctx, key, h.newLease(0))
+	if err != nil || !taken {
+		return
+	}
+	h.becomeRelay(true)
+	h.cfg.Logger.Info("relay lease taken", zap.String("slot", key))
+	_ = h.readLeases(ctx)
+}
+
+// renew keeps the lease; a lease that another node took in the meantime ends this node's part as a relay.
+func (h *Hub) renew(ctx context.Context) {
+	held := h.heldLease()
+	if held == nil {
+		h.becomeRelay(false)
+		h.cfg.Logger.Info("relay lease lost")
+		return
+	}
+	if renewed, err := h.put(ctx, held.key, h.newLease(held.lease.GetRenewals()+1)); err == nil && renewed {
+		_ = h.readLeases(ctx)
+	}
+}
+
+func (h *Hub) heldLease() *observedLease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, o := range h.leases {
+		if o.lease.GetNode() == h.cfg.Node {
+			return o
+		}
+	}
+	return nil
+}
+
+// heldSlot returns the slot of this node's lease: relays of different data centres link to those of the same slot.
+func (h *Hub) heldSlot() string {
+	if o := h.heldLease(); o != nil {
+		return slotOf(o.key)
+	}
+	return ""
+}
+
+func slotOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
+func (h *Hub) becomeRelay(relay bool) {
+	h.mu.Lock()
+	h.relay, h.promoted = relay, false
+	for _, l := range h.links {
+		// The roles of links follow the role of the node: they are made anew.
+		if l.dialled {
+			l.close()
+		}
+	}
+	h.mu.Unlock()
+	h.publishParents()
+}
+
+// promotion returns the linked node that should take the vacant slot of this data centre.
+func (h *Hub) promotion() string {
+	if !h.Relay() {
+		return ""
+	}
+	if _, free := h.vacantSlot(); !free {
+		return ""
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	chosen := ""
+	for _, l := range h.links {
+		if !l.dialled && !l.relay && (chosen == "" || l.node < chosen) {
+			chosen = l.node
+		}
+	}
+	return chosen
+}
+
+// vacantSlot returns a slot that neither this node nor another one holds.
+func (h *Hub) vacantSlot() (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for slot := range relaySlots {
+		key := h.slotKey(slot)
+		if o := h.leases[key]; o == nil || !h.fresh(o) {
+			return key, true
+		}
+	}
+	return "", false
+}
+
+// Leave gives the lease back and tells all nodes that this one goes.
+func (h *Hub) Leave(ctx context.Context) {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	h.cfg.Members.Update(func(record *wirepb.MemberRecord) {
+		record.Down, record.Upstreams = true, nil
+	})
+	held := h.heldLease()
+	if held == nil || !h.Relay() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := h.cfg.Store.Transact(ctx, &wirepb.Transaction{
+		Conditions: []*wirepb.Condition{{Key: held.key, Version: held.version}},
+		Deletes:    []string{held.key},
+	})
+	if err != nil {
+		h.cfg.Logger.Info("relay lease left to lapse", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/route/attempt.go
@@ -0,0 +1,134 @@
+package route
+
+import (
+	"bufio"
+	"context"
+	"math/rand/v2"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/peer"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	maxAttempts  = 4
+	frameReserve = 128 << 10
+	fullShare    = 1000
+)
+
+// run tries upstreams until one answers or no further try is allowed.
+func (p *Proxy) run(ctx context.Context, c *call) *wirepb.AnswerHead {
+	p.budget.earn(c.route.Service.Name)
+	toNew := rand.Uint32N(fullShare) < p.cfg.Verdicts.Share(c.route.Service)
+	for attempt := 1; ; attempt++ {
+		chosen := p.choose(c, toNew)
+		if chosen == nil {
+			return &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
+		}
+		c.tried[chosen.stats] = true
+		answer := p.attempt(ctx, c, chosen)
+		if attempt == maxAttempts || ctx.Err() != nil || !p.again(c, answer, toNew) {
+			return answer
+		}
+		toNew = false
+		p.cfg.Retried()
+	}
+}
+
+// choose picks an upstream of the version that the call goes to; the earlier version serves when that has none.
+func (p *Proxy) choose(c *call, toNew bool) *choice {
+	service := c.route.Service
+	if toNew {
+		c.head.Version = service.Record.GetTo()
+		if chosen := p.cfg.Picker.pick(service.Name, c.head.GetVersion(), c.tried); chosen != nil {
+			return chosen
+		}
+	}
+	c.head.Version = p.cfg.Verdicts.Current(service)
+	chosen := p.cfg.Picker.pick(service.Name, c.head.GetVersion(), c.tried)
+	if chosen == nil && service.Record.GetState() == wirepb.MoveState_MOVE_STATE_DONE {
+		c.head.Version = service.Record.GetFrom()
+		chosen = p.cfg.Picker.pick(service.Name, c.head.GetVersion(), c.tried)
+	}
+	return chosen
+}
+
+// again reports whether a call may be sent to another upstream: when it has certainly not run, or when it is
+// idempotent and this is the outermost of nested calls, so that retries do not multiply with the depth.
+func (p *Proxy) again(c *call, answer *wirepb.AnswerHead, toNew bool) bool {
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
+		return c.fallsBack(toNew) || p.budget.spend(c.route.Service.Name)
+	}
+	failed := answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN || answer.GetStatus() >= http.StatusInternalServerError
+	if !failed || !c.route.Idempotent {
+		return false
+	}
+	return c.fallsBack(toNew) || c.depth == 0 && p.budget.spend(c.route.Service.Name)
+}
+
+// fallsBack allows one try outside the budget for a call that was sent to a version on trial.
+func (c *call) fallsBack(toNew bool) bool {
+	first := toNew && !c.fellBack
+	c.fellBack = c.fellBack || toNew
+	return first
+}
+
+// attempt sends the call to one upstream.
+func (p *Proxy) attempt(ctx context.Context, c *call, chosen *choice) *wirepb.AnswerHead {
+	started := p.cfg.Now()
+	c.setTimeLeft(started)
+	if chosen.upstream.Node == p.cfg.Node {
+		answer := p.cfg.Local.Call(ctx, c.head)
+		p.cfg.Picker.note(chosen, answer, p.cfg.Now().Sub(started), false)
+		return answer
+	}
+	answer, err := p.exchange(ctx, chosen, c.head)
+	p.cfg.Picker.note(chosen, answer, p.cfg.Now().Sub(started), err != nil && ctx.Err() == nil)
+	return answer
+}
+
+// exchange hands the call to the node beside the upstream; what is not proved not to have run is unknown.
+func (p *Proxy) exchange(ctx context.Context, chosen *choice, head *wirepb.CallHead) (*wirepb.AnswerHead, error) {
+	stream, err := p.cfg.Pool.Open(ctx, chosen.upstream.PeerAddress)
+	if err != nil {
+		return failedAnswer(head, wirepb.Outcome_OUTCOME_NOT_RUN, err), err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	if err := p.send(stream, head); err != nil {
+		var encode *frame.EncodeError
+		if errors.As(err, &encode) {
+			return failedAnswer(head, wirepb.Outcome_OUTCOME_NOT_RUN, err), err
+		}
+		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, err), err
+	}
+	answer := &wirepb.AnswerHead{}
+	if err := frame.Read(bufio.NewReader(stream), answer, p.cfg.MaxBodyBytes+frameReserve); err != nil {
+		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, err), err
+	}
+	if answer.GetCallId() != head.GetCallId() {
+		err := &CrossedError{Want: head.GetCallId(), Have: answer.GetCallId()}
+		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, err), err
+	}
+	for _, v := range answer.GetVerdicts() {
+		p.cfg.Verdicts.Merge(v)
+	}
+	return answer, nil
+}
+
+func (p *Proxy) send(stream *peer.Stream, head *wirepb.CallHead) error {
+	return frame.Write(stream, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Call{Call: head}})
+}
+
+func failedAnswer(head *wirepb.CallHead, outcome wirepb.Outcome, err error) *wirepb.AnswerHead {
+	answer := &wirepb.AnswerHead{CallId: head.GetCallId(), Outcome: outcome, Detail: err.Error()}
+	if outcome == wirepb.Outcome_OUTCOME_NOT_RUN {
+		answer.Refusal = wirepb.Refusal_REFUSAL_UNREACHABLE
+	}
+	return answer
+}
+
--- /dev/null
+++ b/internal/store/errors.go
@@ -0,0 +1,53 @@
+package store
+
+import "fmt"
+
+// UnavailableError says that the platform did not carry out the operation.
+type UnavailableError struct {
+	Operation string
+	Cause     error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("platform unavailable for %s: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UnknownError says that the platform may have carried out the write, its answer being lost.
+type UnknownError struct {
+	Operation string
+	Cause     error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("outcome of %s unknown: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// StatusError is an HTTP status that the platform's protocol does not allow.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("platform answered status %d: %s", e.Status, e.Body)
+}
+
+// MissingError says that an object does not exist.
+type MissingError struct {
+	Name string
+}
+
+func (e *MissingError) Error() string { return fmt.Sprintf("object %s does not exist", e.Name) }
+
+// SizeError says that an answer exceeds the limit in bytes.
+type SizeError struct {
+	Limit int64
+}
+
+func (e *SizeError) Error() string { return fmt.Sprintf("answer exceeds %d bytes", e.Limit) }
--- /dev/null
+++ b/internal/tree/edit.go
@@ -0,0 +1,159 @@
+package tree
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const maxEdits = 64
+
+// Administrator is the author that may write in every team's subtree.
+const Administrator = "administrator"
+
+// Change checks edits of an author against the state and returns the change of the next revision;
+// it returns *AccessError, *ConflictError, *LimitError, *PathError, *ValueError or *MissingError.
+func (s *State) Change(author string, edits []*wirepb.Edit, now time.Time) (*wirepb.Change, error) {
+	if len(edits) == 0 || len(edits) > maxEdits {
+		return nil, &LimitError{What: "edits of one change, at least 1", Have: len(edits), Limit: maxEdits}
+	}
+	change := &wirepb.Change{Revision: s.Revision + 1, Author: author, Time: timestamppb.New(now)}
+	for _, e := range edits {
+		puts, err := s.plan(author, e, now)
+		if err != nil {
+			return nil, err
+		}
+		change.Puts = append(change.Puts, puts...)
+	}
+	if _, err := s.Apply(change); err != nil {
+		return nil, err
+	}
+	return change, nil
+}
+
+func (s *State) plan(author string, edit *wirepb.Edit, now time.Time) ([]*wirepb.Put, error) {
+	path, err := ParsePath(edit.GetPath())
+	if err != nil {
+		return nil, err
+	}
+	if !mayWrite(author, path) {
+		return nil, &AccessError{Path: edit.GetPath(), Author: author}
+	}
+	if have := s.Entry(edit.GetPath()).GetRevision(); edit.GetCompare() && have != edit.GetIfRevision() {
+		return nil, &ConflictError{Path: edit.GetPath(), Have: have, Want: edit.GetIfRevision()}
+	}
+	if edit.GetDelete() {
+		return s.planDelete(edit, path)
+	}
+	return s.planSet(edit, path, now)
+}
+
+func mayWrite(author string, path Path) bool {
+	if path.Kind == KindRecord {
+		return false
+	}
+	return author == Administrator || author == path.Team
+}
+
+func (s *State) planDelete(edit *wirepb.Edit, path Path) ([]*wirepb.Put, error) {
+	if s.Entry(edit.GetPath()) == nil {
+		return nil, &MissingError{Path: edit.GetPath()}
+	}
+	service := s.Services[path.Name]
+	if path.Kind == KindMove && service != nil && service.Moving() {
+		return nil, &ValueError{Path: edit.GetPath(), Field: "delete", Value: "true", Allowed: "a move that has ended: take it back first"}
+	}
+	puts := []*wirepb.Put{{Path: edit.GetPath(), Delete: true}}
+	if path.Kind == KindService && s.Entry(RecordPath(path.Name)) != nil {
+		puts = append(puts, &wirepb.Put{Path: RecordPath(path.Name), Delete: true})
+	}
+	return puts, nil
+}
+
+func (s *State) planSet(edit *wirepb.Edit, path Path, now time.Time) ([]*wirepb.Put, error) {
+	_, message, err := Decode(edit.GetPath(), edit.GetValue())
+	if err != nil {
+		return nil, err
+	}
+	puts := []*wirepb.Put{{Path: edit.GetPath(), Value: edit.GetValue()}}
+	switch v := message.(type) {
+	case *wirepb.ServiceSetting:
+		return puts, s.checkServiceEdit(edit.GetPath(), path, v)
+	case *wirepb.MoveSetting:
+		record, err := s.declare(edit.GetPath(), path, v, now)
+		return append(puts, record), err
+	default:
+		return puts, nil
+	}
+}
+
+func (s *State) checkServiceEdit(text string, path Path, setting *wirepb.ServiceSetting) error {
+	service, found := s.Services[path.Name]
+	if !found || service.Team != path.Team {
+		return nil
+	}
+	previous, _ := s.entries[text].value.(*wirepb.ServiceSetting)
+	if previous.GetVersion() == setting.GetVersion() {
+		return nil
+	}
+	return &ValueError{
+		Path: text, Field: "version", Value: setting.GetVersion(),
+		Allowed: strconv.Quote(previous.GetVersion()) + ": declare another version at /teams/" + path.Team + "/moves/" + path.Name,
+	}
+}
+
+// declare returns the record that a new declaration starts with.
+func (s *State) declare(text string, path Path, setting *wirepb.MoveSetting, now time.Time) (*wirepb.Put, error) {
+	service, found := s.Services[path.Name]
+	if !found {
+		return nil, &ValueError{Path: text, Field: "service", Value: path.Name, Allowed: "a service that exists before its move is declared"}
+	}
+	from := service.Stable
+	if service.Record.GetState() == wirepb.MoveState_MOVE_STATE_WATCHING {
+		from = service.Record.GetTo()
+	}
+	if setting.GetVersion() == from {
+		return nil, &ValueError{Path: text, Field: "version", Value: from, Allowed: "a version that does not have the traffic already"}
+	}
+	if !setting.GetDeadline().AsTime().After(now) {
+		return nil, &ValueError{Path: text, Field: "deadline", Value: setting.GetDeadline().AsTime().Format(time.RFC3339), Allowed: "a time after " + now.UTC().Format(time.RFC3339)}
+	}
+	return RecordPut(&wirepb.MoveRecord{
+		Service: path.Name, Team: path.Team, From: from, To: setting.GetVersion(),
+		DeclaredRevision: s.Revision + 1, State: wirepb.MoveState_MOVE_STATE_RUNNING,
+		DeclaredAt: timestamppb.New(now), StepAt: timestamppb.New(now),
+		Deadline: setting.GetDeadline(), AtDeadline: deadlinePolicy(setting),
+		Watch:     durationpb.New(durationOr(setting.GetWatch(), defaultWatch)),
+		StepCalls: stepCalls(setting),
+	})
+}
+
+func deadlinePolicy(setting *wirepb.MoveSetting) wirepb.DeadlinePolicy {
+	if setting.GetAtDeadline() == wirepb.DeadlinePolicy_DEADLINE_POLICY_UNSPECIFIED {
+		return wirepb.DeadlinePolicy_DEADLINE_POLICY_HOLD
+	}
+	return setting.GetAtDeadline()
+}
+
+func stepCalls(setting *wirepb.MoveSetting) uint32 {
+	if setting.GetStepCalls() == 0 {
+		return defaultStepCalls
+	}
+	return setting.GetStepCalls()
+}
+
+// RecordPut encodes a move record as a put; it returns *ValueError.
+func RecordPut(record *wirepb.MoveRecord) (*wirepb.Put, error) {
+	path := RecordPath(record.GetService())
+	value, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(record)
+	if err != nil {
+		return nil, &ValueError{Path: path, Field: "value", Value: strings.ToValidUTF8(record.GetReason(), "?"), Allowed: err.Error()}
+	}
+	return &wirepb.Put{Path: path, Value: string(value)}, nil
+}
--- /dev/null
+++ b/internal/tree/errors.go
@@ -0,0 +1,74 @@
+package tree
+
+import "fmt"
+
+// PathError says that a path is not one of the tree.
+type PathError struct {
+	Path    string
+	Allowed string
+}
+
+func (e *PathError) Error() string {
+	return fmt.Sprintf("path %q is not allowed: use %s", e.Path, e.Allowed)
+}
+
+// ValueError says which field of which path has a value that is not allowed.
+type ValueError struct {
+	Path    string
+	Field   string
+	Value   string
+	Allowed string
+}
+
+func (e *ValueError) Error() string {
+	return fmt.Sprintf("%s: field %s has value %q: allowed is %s", e.Path, e.Field, e.Value, e.Allowed)
+}
+
+// AccessError says that the author may not write or read a path.
+type AccessError struct {
+	Path   string
+	Author string
+}
+
+func (e *AccessError) Error() string {
+	return fmt.Sprintf("%s may not touch %s: use a token of the team that owns the path", e.Author, e.Path)
+}
+
+// ConflictError says that a path is not at the revision that the operator read.
+type ConflictError struct {
+	Path string
+	Have uint64
+	Want uint64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s is at revision %d, not %d: read it again, then repeat the change", e.Path, e.Have, e.Want)
+}
+
+// MissingError says that a path does not exist.
+type MissingError struct {
+	Path string
+}
+
+func (e *MissingError) Error() string { return fmt.Sprintf("%s does not exist", e.Path) }
+
+// GapError says that a change does not follow the state's revision.
+type GapError struct {
+	Have uint64
+	Got  uint64
+}
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("change %d does not follow revision %d", e.Got, e.Have)
+}
+
+// LimitError says that a request exceeds a limit of the tree.
+type LimitError struct {
+	What  string
+	Have  int
+	Limit int
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("%s: %d exceeds the limit of %d", e.What, e.Have, e.Limit)
+}
--- /dev/null
+++ b/internal/tree/path.go
@@ -0,0 +1,69 @@
+package tree
+
+import (
+	"regexp"
+	"strings"
+)
+
+const (
+	maxPathBytes = 200
+	allowedPaths = "/teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, names of 1 to 40 of a-z, 0-9 and -"
+)
+
+// Kind is the kind of value that stands at a path.
+type Kind int
+
+// The kinds of values.
+const (
+	KindAccess Kind = iota + 1
+	KindService
+	KindRoute
+	KindMove
+	KindRecord
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+
+// Path is a parsed path of the tree.
+type Path struct {
+	Kind Kind
+	Team string
+	Name string
+}
+
+// ParsePath parses a path; it returns *PathError.
+func ParsePath(text string) (Path, error) {
+	failure := &PathError{Path: text[:min(len(text), maxPathBytes)], Allowed: allowedPaths}
+	if len(text) > maxPathBytes || !strings.HasPrefix(text, "/") {
+		return Path{}, failure
+	}
+	parts := strings.Split(text[1:], "/")
+	path, found := classify(parts)
+	if !found || !path.named() {
+		return Path{}, failure
+	}
+	return path, nil
+}
+
+func classify(parts []string) (Path, bool) {
+	switch {
+	case len(parts) == 3 && parts[0] == "system" && parts[1] == "moves":
+		return Path{Kind: KindRecord, Name: parts[2]}, true
+	case len(parts) == 3 && parts[0] == "teams" && parts[2] == "access":
+		return Path{Kind: KindAccess, Team: parts[1]}, true
+	case len(parts) != 4 || parts[0] != "teams":
+		return Path{}, false
+	}
+	kinds := map[string]Kind{"services": KindService, "routes": KindRoute, "moves": KindMove}
+	kind, found := kinds[parts[2]]
+	return Path{Kind: kind, Team: parts[1], Name: parts[3]}, found
+}
+
+func (p Path) named() bool {
+	team := p.Kind == KindRecord || namePattern.MatchString(p.Team)
+	name := p.Kind == KindAccess || namePattern.MatchString(p.Name)
+	return team && name
+}
+
+// RecordPath returns the path of a service's move record.
+func RecordPath(service string) string { return "/system/moves/" + service }
--- /dev/null
+++ b/internal/tree/value.go
@@ -0,0 +1,184 @@
+package tree
+
+import (
+	"encoding/hex"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	maxValueBytes    = 16 << 10
+	maxTokens        = 8
+	tokenHashBytes   = 32
+	maxColdStart     = 10 * time.Minute
+	minTimeout       = 10 * time.Millisecond
+	maxTimeout       = 5 * time.Minute
+	minWatch         = time.Second
+	maxWatch         = 24 * time.Hour
+	minStepCalls     = 3
+	maxStepCalls     = 10000
+	defaultTimeout   = 5 * time.Second
+	defaultColdStart = 3 * time.Second
+	defaultWatch     = 30 * time.Second
+	defaultStepCalls = 20
+)
+
+var (
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	prefixPattern  = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,127}$`)
+)
+
+// Decode decodes and checks the value of a path; it returns *PathError or *ValueError.
+func Decode(text, value string) (Path, proto.Message, error) {
+	path, err := ParsePath(text)
+	if err != nil {
+		return Path{}, nil, err
+	}
+	if len(value) > maxValueBytes {
+		return Path{}, nil, &ValueError{Path: text, Field: "value", Value: strconv.Itoa(len(value)) + " bytes", Allowed: "at most 16384 bytes"}
+	}
+	message := newValue(path.Kind)
+	if err := protojson.Unmarshal([]byte(value), message); err != nil {
+		return Path{}, nil, &ValueError{Path: text, Field: "value", Value: shorten(value), Allowed: "JSON of " + string(message.ProtoReflect().Descriptor().Name()) + ": " + err.Error()}
+	}
+	if failure := check(message); failure != nil {
+		failure.Path = text
+		return Path{}, nil, failure
+	}
+	return path, message, nil
+}
+
+func newValue(kind Kind) proto.Message {
+	switch kind {
+	case KindAccess:
+		return &wirepb.AccessSetting{}
+	case KindService:
+		return &wirepb.ServiceSetting{}
+	case KindRoute:
+		return &wirepb.RouteSetting{}
+	case KindMove:
+		return &wirepb.MoveSetting{}
+	default:
+		return &wirepb.MoveRecord{}
+	}
+}
+
+func check(message proto.Message) *ValueError {
+	switch m := message.(type) {
+	case *wirepb.AccessSetting:
+		return checkAccess(m)
+	case *wirepb.ServiceSetting:
+		return checkService(m)
+	case *wirepb.RouteSetting:
+		return checkRoute(m)
+	case *wirepb.MoveSetting:
+		return checkMove(m)
+	case *wirepb.MoveRecord:
+		return checkRecord(m)
+	default:
+		return nil
+	}
+}
+
+func checkAccess(m *wirepb.AccessSetting) *ValueError {
+	hashes := m.GetTokenSha256()
+	if len(hashes) == 0 || len(hashes) > maxTokens {
+		return &ValueError{Field: "token_sha256", Value: strconv.Itoa(len(hashes)) + " hashes", Allowed: "1 to 8 hashes"}
+	}
+	for _, h := range hashes {
+		if raw, err := hex.DecodeString(h); err != nil || len(raw) != tokenHashBytes {
+			return &ValueError{Field: "token_sha256", Value: shorten(h), Allowed: "64 hexadecimal digits"}
+		}
+	}
+	return nil
+}
+
+func checkService(m *wirepb.ServiceSetting) *ValueError {
+	if failure := checkVersion(m.GetVersion()); failure != nil {
+		return failure
+	}
+	return checkDuration("cold_start", m.GetColdStart(), 0, maxColdStart)
+}
+
+func checkRoute(m *wirepb.RouteSetting) *ValueError {
+	switch {
+	case !prefixPattern.MatchString(m.GetPathPrefix()):
+		return &ValueError{Field: "path_prefix", Value: shorten(m.GetPathPrefix()), Allowed: "a path of at most 128 characters that starts with /"}
+	case !namePattern.MatchString(m.GetService()):
+		return &ValueError{Field: "service", Value: shorten(m.GetService()), Allowed: "the name of a service"}
+	case wirepb.Class_name[int32(m.GetClass())] == "":
+		return &ValueError{Field: "class", Value: m.GetClass().String(), Allowed: "CLASS_BROWSE, CLASS_NORMAL or CLASS_CRITICAL"}
+	case m.GetIdempotent() && m.GetAtMostOnce():
+		return &ValueError{Field: "at_most_once", Value: "true", Allowed: "false on an idempotent route"}
+	case wirepb.ClaimPolicy_name[int32(m.GetClaimPolicy())] == "":
+		return &ValueError{Field: "claim_policy", Value: m.GetClaimPolicy().String(), Allowed: "CLAIM_POLICY_REFUSE or CLAIM_POLICY_RUN"}
+	default:
+		return checkDuration("timeout", m.GetTimeout(), minTimeout, maxTimeout)
+	}
+}
+
+func checkMove(m *wirepb.MoveSetting) *ValueError {
+	if failure := checkVersion(m.GetVersion()); failure != nil {
+		return failure
+	}
+	if !m.GetDeadline().IsValid() {
+		return &ValueError{Field: "deadline", Value: m.GetDeadline().String(), Allowed: "a time such as 2026-12-04T12:00:00Z"}
+	}
+	if wirepb.DeadlinePolicy_name[int32(m.GetAtDeadline())] == "" {
+		return &ValueError{Field: "at_deadline", Value: m.GetAtDeadline().String(), Allowed: "DEADLINE_POLICY_HOLD or DEADLINE_POLICY_FINISH"}
+	}
+	if calls := m.GetStepCalls(); calls != 0 && (calls < minStepCalls || calls > maxStepCalls) {
+		return &ValueError{Field: "step_calls", Value: strconv.FormatUint(uint64(calls), 10), Allowed: "3 to 10000"}
+	}
+	return checkDuration("watch", m.GetWatch(), minWatch, maxWatch)
+}
+
+func checkRecord(m *wirepb.MoveRecord) *ValueError {
+	if m.GetState() < wirepb.MoveState_MOVE_STATE_RUNNING || m.GetState() > wirepb.MoveState_MOVE_STATE_TAKEN_BACK {
+		return &ValueError{Field: "state", Value: m.GetState().String(), Allowed: "a state of a move"}
+	}
+	if m.GetSharePermille() > 1000 {
+		return &ValueError{Field: "share_permille", Value: strconv.FormatUint(uint64(m.GetSharePermille()), 10), Allowed: "0 to 1000"}
+	}
+	return nil
+}
+
+func checkVersion(version string) *ValueError {
+	if versionPattern.MatchString(version) {
+		return nil
+	}
+	return &ValueError{Field: "version", Value: shorten(version), Allowed: "1 to 64 of letters, digits, dot, underscore and -"}
+}
+
+func checkDuration(field string, value *durationpb.Duration, low, high time.Duration) *ValueError {
+	if value == nil {
+		return nil
+	}
+	if value.IsValid() && value.AsDuration() >= low && value.AsDuration() <= high {
+		return nil
+	}
+	return &ValueError{Field: field, Value: value.AsDuration().String(), Allowed: low.String() + " to " + high.String()}
+}
+
+func durationOr(value *durationpb.Duration, fallback time.Duration) time.Duration {
+	if value == nil {
+		return fallback
+	}
+	return value.AsDuration()
+}
+
+func shorten(text string) string {
+	const maxShown = 80
+	if len(text) <= maxShown {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxShown], "") + "..."
+}
--- /dev/null
+++ b/pkg/client/doc.go
@@ -0,0 +1,2 @@
+// Package client is the client of the admin API.
+package client
--- /dev/null
+++ b/pkg/cmd/factory/doc.go
@@ -0,0 +1,2 @@
+// Package factory holds what all commands share: streams, the client, output and exit codes.
+package factory
--- /dev/null
+++ b/pkg/cmd/factory/output.go
@@ -0,0 +1,47 @@
+package factory
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+const columnGap = 2
+
+// Table prints rows under headings on a terminal, and separated by tabs without headings elsewhere.
+func (f *Factory) Table(headings []string, rows [][]string) error {
+	if !f.Terminal {
+		for _, row := range rows {
+			if _, err := fmt.Fprintln(f.Out, strings.Join(row, "\t")); err != nil {
+				return errors.Wrap(err, "print")
+			}
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(f.Out, 0, 0, columnGap, ' ', 0)
+	for _, row := range append([][]string{headings}, rows...) {
+		if _, err := fmt.Fprintln(w, strings.Join(row, "\t")); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return errors.Wrap(w.Flush(), "print")
+}
+
+// JSON prints a message with the names of its schema.
+func (f *Factory) JSON(message proto.Message) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	_, err = fmt.Fprintln(f.Out, string(data))
+	return errors.Wrap(err, "print")
+}
+
+// Note prints progress to the error stream.
+func (f *Factory) Note(format string, values ...any) {
+	_, _ = fmt.Fprintf(f.ErrOut, format+"\n", values...)
+}
--- /dev/null
+++ b/pkg/cmd/move/doc.go
@@ -0,0 +1,2 @@
+// Package move holds the commands about moves between versions.
+package move
--- /dev/null
+++ b/pkg/cmd/move/list/doc.go
@@ -0,0 +1,2 @@
+// Package list is the command that lists moves.
+package list
--- /dev/null
+++ b/pkg/cmd/move/takeback/doc.go
@@ -0,0 +1,2 @@
+// Package takeback is the command that takes a move back.
+package takeback
--- /dev/null
+++ b/pkg/cmd/move/view/doc.go
@@ -0,0 +1,2 @@
+// Package view is the command that shows one move.
+package view
--- /dev/null
+++ b/pkg/cmd/node/doc.go
@@ -0,0 +1,2 @@
+// Package node holds the commands about node processes.
+package node
--- /dev/null
+++ b/pkg/cmd/node/run/doc.go
@@ -0,0 +1,2 @@
+// Package run is the command that runs a node.
+package run
--- /dev/null
+++ b/pkg/cmd/node/run/run.go
@@ -0,0 +1,56 @@
+package run
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/node"
+	"github.com/turmericdale/turmericdale/pkg/cmd/factory"
+)
+
+// Options are the inputs of the command.
+type Options struct {
+	Settings string
+}
+
+// NewCmdRun returns the command that runs a node; runF replaces the run in tests.
+func NewCmdRun(_ *factory.Factory, runF func(ctx context.Context, opts *Options) error) *cobra.Command {
+	opts := &Options{}
+	cmd := &cobra.Command{
+		Use:     "run",
+		Short:   "Run the node beside an upstream",
+		Long:    "Run the node beside an upstream until it gets SIGTERM; it then stops without cutting a call.",
+		Example: "  turmericdale node run --settings examples/gnomon/node.jsonc",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if runF != nil {
+				return runF(cmd.Context(), opts)
+			}
+			return runRun(cmd.Context(), opts)
+		},
+	}
+	cmd.Flags().StringVar(&opts.Settings, "settings", "", "Settings file in JSON with comments")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func runRun(ctx context.Context, opts *Options) error {
+	settings, err := conf.Load(opts.Settings)
+	if err != nil {
+		return err
+	}
+	logger, err := zap.NewProduction()
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	defer func() { _ = logger.Sync() }()
+	n, err := node.New(settings, logger)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/pkg/cmd/node/status/doc.go
@@ -0,0 +1,2 @@
+// Package status is the command that shows what a node runs.
+package status
--- /dev/null
+++ b/pkg/cmd/root/doc.go
@@ -0,0 +1,2 @@
+// Package root is the root of the command line.
+package root
--- /dev/null
+++ b/pkg/cmd/setting/doc.go
@@ -0,0 +1,2 @@
+// Package setting holds the commands about the settings tree.
+package setting
--- /dev/null
+++ b/pkg/cmd/setting/get/doc.go
@@ -0,0 +1,2 @@
+// Package get is the command that reads one path.
+package get
--- /dev/null
+++ b/pkg/cmd/setting/list/doc.go
@@ -0,0 +1,2 @@
+// Package list is the command that lists paths.
+package list
--- /dev/null
+++ b/pkg/cmd/setting/set/doc.go
@@ -0,0 +1,2 @@
+// Package set is the command that changes settings.
+package set
--- /dev/null
+++ b/pkg/cmd/version/doc.go
@@ -0,0 +1,2 @@
+// Package version prints the version of the program.
+package version
