Speak the users' table and object calls in the one client of the platform

Cause: the client and the stand-in spoke a form of this project's own, so the system reached no real platform. Ruled out: two clients side by side, and a seam with two forms, which would keep the old one alive for tests only. Change: platform/ holds the calls and the formats for both sides; internal/store keeps outcomes, time-outs and counters; the stand-in serves the platform's calls with a change feed and dropped history.

--- a/internal/chain/commit.go
+++ b/internal/chain/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 const (
@@ -259,20 +261,30 @@
 	}
 	previous := head.GetSnapshotRevision()
 	head.SnapshotRevision = snapshot.GetRevision()
-	transaction := &wirepb.Transaction{
-		Conditions: []*wirepb.Condition{{Key: headKey, Version: version}},
-		Deletes:    trimmedKeys(snapshot.GetRevision()),
-	}
+	transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: headKey, Version: version}}}
 	if err := addRow(transaction, headKey, head); err != nil {
 		return err
 	}
 	committed, err := l.store.Transact(ctx, transaction)
-	if err != nil || !committed || previous == 0 {
+	if err != nil || !committed {
+		return err
+	}
+	if err := l.trim(ctx, trimmedKeys(snapshot.GetRevision())); err != nil || previous == 0 {
 		return err
 	}
 	return l.store.DeleteObject(ctx, snapshotName(previous))
 }
 
+// trim removes rows that the snapshot replaces; one that is left is removed after the next snapshot.
+func (l *Log) trim(ctx context.Context, keys []string) error {
+	for part := range slices.Chunk(keys, platform.MaxTransactionEntries) {
+		if _, err := l.store.Transact(ctx, &wirepb.Transaction{Deletes: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func trimmedKeys(snapshotRevision uint64) []string {
 	if snapshotRevision <= keptBeforeTrim {
 		return nil
--- a/internal/chain/follow.go
+++ b/internal/chain/follow.go
@@ -24,7 +24,7 @@
 
 func logKey(revision uint64) string { return fmt.Sprintf("%s%020d", logPrefix, revision) }
 
-func snapshotName(revision uint64) string { return fmt.Sprintf("snapshot/%020d", revision) }
+func snapshotName(revision uint64) string { return fmt.Sprintf("snapshot-%020d", revision) }
 
 // Sync catches up with the platform; it returns *store.UnavailableError or *CorruptError.
 func (l *Log) Sync(ctx context.Context) error {
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -23,7 +23,7 @@
 	resolveTries   = 3
 	// keptDays is the number of days, besides the current one, for which keys are kept.
 	keptDays  = 2
-	trimBatch = 400
+	trimBatch = 100
 )
 
 // DuplicateError says that a key was used before, so that its call may have run already.
--- a/internal/emul/platform.go
+++ b/internal/emul/platform.go
@@ -1,27 +1,17 @@
 package emul
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
-)
-
-const (
-	maxTransactionBytes = 8 << 20
-	maxObjectBytes      = 64 << 20
-	defaultPageRows     = 1000
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 // PlatformFaults are the faults of a Platform in force.
@@ -45,13 +35,16 @@
 // Platform is a stand-in for the platform's transactional table and object store.
 type Platform struct {
 	mu      sync.Mutex
-	rows    map[string]*wirepb.Row
+	rows    map[rowKey]*wirepb.Row
 	objects map[string][]byte
 	version uint64
-	faults  PlatformFaults
-	random  *rand.Rand
-	reads   uint64
-	writes  uint64
+	// forgotten is the version up to which the history is gone.
+	forgotten uint64
+	changed   chan struct{}
+	faults    PlatformFaults
+	random    *rand.Rand
+	reads     uint64
+	writes    uint64
 
 	readLimit  *rate.Limiter
 	writeLimit *rate.Limiter
@@ -60,7 +53,8 @@
 // NewPlatform returns an empty platform.
 func NewPlatform(cfg PlatformConfig) *Platform {
 	return &Platform{
-		rows:       map[string]*wirepb.Row{},
+		rows:       map[rowKey]*wirepb.Row{},
+		changed:    make(chan struct{}),
 		objects:    map[string][]byte{},
 		random:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 		readLimit:  newLimiter(cfg.ReadsPerSecond),
@@ -92,16 +86,10 @@
 // Handler serves the platform's protocol and its control under /control.
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Group(func(r chi.Router) {
-		r.Use(p.disturbWrites)
-		r.Post("/table/transactions", p.transact)
-		r.Put("/objects/*", p.putObject)
-		r.Delete("/objects/*", p.deleteObject)
-	})
-	r.Group(func(r chi.Router) {
-		r.Use(p.disturbReads)
-		r.Get("/table/rows", p.listRows)
-		r.Get("/objects/*", p.getObject)
+	platform.Serve(r, platform.Store{
+		Transact: p.commit, Rows: p.find, Feed: p.feed,
+		PutObject: p.putObject, Object: p.object, DeleteObject: p.deleteObject,
+		DisturbReads: p.disturbReads, DisturbWrites: p.disturbWrites,
 	})
 	r.Put("/control/faults", p.putFaults)
 	r.Get("/control/operations", p.getOperations)
@@ -149,85 +137,125 @@
 	return p.random.Float64()
 }
 
-func (p *Platform) transact(w http.ResponseWriter, r *http.Request) {
-	transaction := &wirepb.Transaction{}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxTransactionBytes))
-	if err == nil {
-		err = protojson.Unmarshal(body, transaction)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	writeMessage(w, &wirepb.TransactionReply{Committed: p.commit(transaction)})
+// rowKey names a row over all tables.
+type rowKey struct {
+	table string
+	key   string
 }
 
 func (p *Platform) commit(transaction *wirepb.Transaction) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range transaction.GetConditions() {
-		if p.rows[c.GetKey()].GetVersion() != c.GetVersion() {
+		row, found := p.rows[rowKey{key: c.GetKey()}]
+		have := uint64(0)
+		if found && !row.GetDeleted() {
+			have = row.GetVersion()
+		}
+		if have != c.GetVersion() {
 			return false
 		}
 	}
+	p.version++
 	for _, row := range transaction.GetPuts() {
-		p.version++
-		p.rows[row.GetKey()] = &wirepb.Row{Key: row.GetKey(), Value: row.GetValue(), Version: p.version}
+		p.rows[rowKey{table: row.GetTable(), key: row.GetKey()}] = &wirepb.Row{
+			Table: row.GetTable(), Key: row.GetKey(), Value: row.GetValue(), Version: p.version,
+		}
 	}
 	for _, key := range transaction.GetDeletes() {
-		delete(p.rows, key)
+		p.rows[rowKey{key: key}] = &wirepb.Row{Key: key, Version: p.version, Deleted: true}
 	}
+	close(p.changed)
+	p.changed = make(chan struct{})
 	return true
 }
 
-func (p *Platform) listRows(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	limit, err := strconv.Atoi(query.Get("limit"))
-	if err != nil || limit < 1 {
-		limit = defaultPageRows
+// Put writes one row of any table, as the operator does.
+func (p *Platform) Put(table, key string, value []byte) {
+	p.commit(&wirepb.Transaction{Puts: []*wirepb.Row{{Table: table, Key: key, Value: value}}})
+}
+
+// Row returns one row of any table, or nil.
+func (p *Platform) Row(table, key string) *wirepb.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.rows[rowKey{table: table, key: key}]
+	if row.GetDeleted() {
+		return nil
 	}
-	writeMessage(w, &wirepb.RowList{Rows: p.find(query.Get("prefix"), query.Get("after"), limit)})
+	return row
+}
+
+// ForgetHistory makes every feed that is behind start anew.
+func (p *Platform) ForgetHistory() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forgotten = p.version
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
-func (p *Platform) find(prefix, after string, limit int) []*wirepb.Row {
+func (p *Platform) find(table, from, to string, limit int) platform.Rows {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	rows := p.sorted(func(name rowKey, row *wirepb.Row) bool {
+		return name.table == table && !row.GetDeleted() && name.key >= from && (to == "" || name.key < to)
+	}, func(a, b *wirepb.Row) bool { return a.GetKey() < b.GetKey() })
+	shown := min(len(rows), limit)
+	return platform.Rows{Rows: rows[:shown], Version: p.version, More: shown < len(rows)}
+}
+
+func (p *Platform) sorted(wanted func(name rowKey, row *wirepb.Row) bool, less func(a, b *wirepb.Row) bool) []*wirepb.Row {
 	var rows []*wirepb.Row
-	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
+	for name, row := range p.rows {
+		if wanted(name, row) {
 			rows = append(rows, row)
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].GetKey() < rows[j].GetKey() })
-	return rows[:min(len(rows), limit)]
+	sort.Slice(rows, func(i, j int) bool { return less(rows[i], rows[j]) })
+	return rows
 }
 
-func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObjectBytes))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+func (p *Platform) feed(table string, after uint64, wait time.Duration, gone <-chan struct{}) (platform.Rows, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		rows := p.sorted(func(name rowKey, row *wirepb.Row) bool {
+			return name.table == table && row.GetVersion() > after
+		}, func(a, b *wirepb.Row) bool { return a.GetVersion() < b.GetVersion() })
+		answer, changed, known := platform.Rows{Rows: rows, Version: p.version}, p.changed, after >= p.forgotten
+		p.mu.Unlock()
+		if len(rows) > 0 || !known {
+			return answer, known
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return answer, true
+		case <-gone:
+			return answer, true
+		}
 	}
+}
+
+func (p *Platform) putObject(name string, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.objects[chi.URLParam(r, "*")] = data
+	p.objects[name] = data
 }
 
-func (p *Platform) deleteObject(_ http.ResponseWriter, r *http.Request) {
+func (p *Platform) deleteObject(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.objects, chi.URLParam(r, "*"))
+	delete(p.objects, name)
 }
 
-func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) object(name string) ([]byte, bool) {
 	p.mu.Lock()
-	data, found := p.objects[chi.URLParam(r, "*")]
-	p.mu.Unlock()
-	if !found {
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write(data)
+	defer p.mu.Unlock()
+	data, found := p.objects[name]
+	return data, found
 }
 
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
@@ -242,15 +270,6 @@
 	writeJSON(w, map[string]uint64{"reads": reads, "writes": writes})
 }
 
-func writeMessage(w http.ResponseWriter, message proto.Message) {
-	data, err := protojson.Marshal(message)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(data)
-}
-
 // discardWriter lets a handler take effect while its answer is lost.
 type discardWriter struct {
 	header http.Header
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -7,15 +7,13 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 const (
@@ -24,6 +22,10 @@
 	maxFailureBytes    = 1 << 10
 	idleConnections    = 16
 	connectionIdleTime = 90 * time.Second
+	// A silent connection is found within two seconds, the least that the users' bounds for configuration allow.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 2
 )
 
 // Counters counts the operations of one process on the platform.
@@ -58,7 +60,7 @@
 		cfg.Timeout = defaultTimeout
 	}
 	if cfg.Dial == nil {
-		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout}).DialContext
+		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout, KeepAliveConfig: keepAlive()}).DialContext
 	}
 	transport := &http.Transport{
 		DialContext:         cfg.Dial,
@@ -72,6 +74,11 @@
 	}
 }
 
+// keepAlive ends connections that went silent: a feed waits for seconds without an answer.
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+}
+
 // Close releases idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -80,37 +87,84 @@
 
 // Transact writes all rows or none and reports whether the conditions held; it returns *UnavailableError or *UnknownError.
 func (c *Client) Transact(ctx context.Context, transaction *wirepb.Transaction) (bool, error) {
-	c.Counters.Writes.Add(1)
-	body, err := protojson.Marshal(transaction)
+	call, err := platform.TransactCall(transaction)
 	if err != nil {
 		return false, errors.Wrap(err, "encode transaction")
 	}
-	answer, err := c.write(ctx, "transaction", http.MethodPost, "/table/transactions", body)
-	if err != nil {
-		return false, err
-	}
-	reply := &wirepb.TransactionReply{}
-	if err := protojson.Unmarshal(answer, reply); err != nil {
-		return false, &UnknownError{Operation: "transaction", Cause: err}
+	_, err = c.write(ctx, "transaction", call)
+	var status *StatusError
+	if errors.As(err, &status) {
+		if committed, known := platform.Committed(status.Status); known {
+			return committed, nil
+		}
 	}
-	return reply.GetCommitted(), nil
+	return err == nil, err
 }
 
-// Range reads at most limit rows whose keys have the prefix and follow after; it returns *UnavailableError.
+// Range reads at most limit rows of the own table whose keys have the prefix and follow after; it returns *UnavailableError.
 func (c *Client) Range(ctx context.Context, prefix, after string, limit int) ([]*wirepb.Row, error) {
-	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
-	answer, err := c.read(ctx, "range", "/table/rows?"+query.Encode())
+	var found []*wirepb.Row
+	from := max(prefix, after)
+	for {
+		// The first key of a range belongs to it: a page has room for the row that is known already.
+		page, err := c.Table(ctx, "", from, prefixEnd(prefix), min(limit-len(found)+1, platform.MaxPageRows))
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range page.Rows {
+			if r.GetKey() != after && len(found) < limit {
+				found = append(found, r)
+			}
+		}
+		if !page.More || len(found) >= limit || len(page.Rows) == 0 {
+			return found, nil
+		}
+		after = page.Rows[len(page.Rows)-1].GetKey()
+		from = after
+	}
+}
+
+// prefixEnd returns the first key that follows all keys with a prefix, or nothing when there is none.
+func prefixEnd(prefix string) string {
+	for i := len(prefix) - 1; i >= 0; i-- {
+		if prefix[i] < 0x7f {
+			return prefix[:i] + string(prefix[i]+1)
+		}
+	}
+	return ""
+}
+
+// Table reads one page of a table, from a key up to another one, which is left out; it returns *UnavailableError.
+func (c *Client) Table(ctx context.Context, table, from, to string, limit int) (*platform.Rows, error) {
+	answer, err := c.read(ctx, "range", platform.RowsCall(table, from, to, limit), c.timeout)
 	if err != nil {
 		return nil, err
 	}
-	list := &wirepb.RowList{}
-	if err := protojson.Unmarshal(answer, list); err != nil {
+	rows, err := platform.DecodeRows(answer)
+	if err != nil {
 		return nil, &UnavailableError{Operation: "range", Cause: err}
 	}
-	return list.GetRows(), nil
+	return rows, nil
 }
 
-// Row reads one row, or nil when it does not exist; it returns *UnavailableError.
+// Feed waits for rows of a table that changed after a version; it returns *HistoryError or *UnavailableError.
+func (c *Client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (*platform.Rows, error) {
+	answer, err := c.read(ctx, "feed", platform.FeedCall(table, after, wait), wait+c.timeout)
+	var status *StatusError
+	if errors.As(err, &status) && platform.Forgotten(status.Status) {
+		return nil, &HistoryError{Table: table, After: after}
+	}
+	if err != nil {
+		return nil, err
+	}
+	rows, err := platform.DecodeRows(answer)
+	if err != nil {
+		return nil, &UnavailableError{Operation: "feed", Cause: err}
+	}
+	return rows, nil
+}
+
+// Row reads one row of the own table, or nil when it does not exist; it returns *UnavailableError.
 func (c *Client) Row(ctx context.Context, key string) (*wirepb.Row, error) {
 	rows, err := c.Range(ctx, key, "", 1)
 	if err != nil || len(rows) == 0 || rows[0].GetKey() != key {
@@ -121,21 +175,19 @@
 
 // PutObject stores an object; it returns *UnavailableError or *UnknownError.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	c.Counters.Writes.Add(1)
-	_, err := c.write(ctx, "put object", http.MethodPut, "/objects/"+name, data)
+	_, err := c.write(ctx, "put object", platform.PutObjectCall(name, data))
 	return err
 }
 
 // DeleteObject removes an object; it returns *UnavailableError or *UnknownError.
 func (c *Client) DeleteObject(ctx context.Context, name string) error {
-	c.Counters.Writes.Add(1)
-	_, err := c.write(ctx, "delete object", http.MethodDelete, "/objects/"+name, nil)
+	_, err := c.write(ctx, "delete object", platform.DeleteObjectCall(name))
 	return err
 }
 
 // Object reads an object; it returns *MissingError or *UnavailableError.
 func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
-	data, err := c.read(ctx, "get object", "/objects/"+name)
+	data, err := c.read(ctx, "get object", platform.ObjectCall(name), c.timeout)
 	var status *StatusError
 	if errors.As(err, &status) && status.Status == http.StatusNotFound {
 		return nil, &MissingError{Name: name}
@@ -143,17 +195,18 @@
 	return data, err
 }
 
-func (c *Client) read(ctx context.Context, operation, target string) ([]byte, error) {
+func (c *Client) read(ctx context.Context, operation string, call platform.Call, timeout time.Duration) ([]byte, error) {
 	c.Counters.Reads.Add(1)
-	answer, _, err := c.do(ctx, http.MethodGet, target, nil)
+	answer, _, err := c.do(ctx, call, timeout)
 	if err != nil {
 		return nil, &UnavailableError{Operation: operation, Cause: err}
 	}
 	return answer, nil
 }
 
-func (c *Client) write(ctx context.Context, operation, method, target string, body []byte) ([]byte, error) {
-	answer, sent, err := c.do(ctx, method, target, body)
+func (c *Client) write(ctx context.Context, operation string, call platform.Call) ([]byte, error) {
+	c.Counters.Writes.Add(1)
+	answer, sent, err := c.do(ctx, call, c.timeout)
 	switch {
 	case err == nil:
 		return answer, nil
@@ -165,13 +218,14 @@
 }
 
 // do reports with an error whether the request may have taken effect.
-func (c *Client) do(ctx context.Context, method, target string, body []byte) ([]byte, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+func (c *Client) do(ctx context.Context, call platform.Call, timeout time.Duration) ([]byte, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, c.base+target, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Target, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, false, errors.Wrap(err, "build platform request")
 	}
+	request.Header.Set("Content-Type", "application/json")
 	answer, sent, err := c.send(request)
 	c.note(ctx, err)
 	return answer, sent, err
@@ -191,7 +245,8 @@
 		return nil, true, &SizeError{Limit: maxAnswerBytes}
 	}
 	if response.StatusCode/100 != 2 {
-		return nil, false, &StatusError{Status: response.StatusCode, Body: string(answer[:min(len(answer), maxFailureBytes)])}
+		sent := response.StatusCode >= http.StatusInternalServerError && !platform.Refused(response.StatusCode)
+		return nil, sent, &StatusError{Status: response.StatusCode, Body: string(answer[:min(len(answer), maxFailureBytes)])}
 	}
 	return answer, true, nil
 }
@@ -199,7 +254,7 @@
 func (c *Client) note(ctx context.Context, err error) {
 	var status *StatusError
 	switch {
-	case err == nil, errors.As(err, &status) && status.Status == http.StatusNotFound:
+	case err == nil, errors.As(err, &status) && status.Status < http.StatusInternalServerError && !platform.Refused(status.Status):
 		c.lost.Store(false)
 	case !errors.Is(ctx.Err(), context.Canceled):
 		c.Counters.Failures.Add(1)
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -51,3 +51,13 @@
 }
 
 func (e *SizeError) Error() string { return fmt.Sprintf("answer exceeds %d bytes", e.Limit) }
+
+// HistoryError says that the platform no longer has the changes that a feed asks for.
+type HistoryError struct {
+	Table string
+	After uint64
+}
+
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("table %q has no history after version %d", e.Table, e.After)
+}
