--- a/internal/chain/commit.go
+++ b/internal/chain/commit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -25,6 +26,9 @@
 	keptBeforeTrim    = recentChanges
 	maxTrimmedAtOnce  = 400
 	unresolvedTimeout = 4 * time.Second
+	// maxRowBytes leaves room for a whole batch in one transaction of the platform, 1 MB in its text form.
+	maxRowBytes  = 20 << 10
+	changePrefix = "change-"
 )
 
 // Build makes a change on a state; it is called again when another writer was faster.
@@ -162,10 +166,17 @@
 
 // write reports whether the changes took their places; a lost answer is resolved by the operation id in the row.
 func (l *Log) write(ctx context.Context, head *wirepb.Head, version uint64, changes []*wirepb.Change) (bool, error) {
-	transaction, err := newTransaction(head, version, changes)
+	rows, err := l.storeLarge(ctx, changes)
 	if err != nil {
 		return false, err
 	}
+	transaction, err := newTransaction(head, version, rows)
+	if err != nil {
+		return false, err
+	}
+	if transaction.Puts, err = l.withExports(transaction.GetPuts(), changes); err != nil {
+		return false, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, unresolvedTimeout)
 	defer cancel()
 	var unknown *store.UnknownError
@@ -205,6 +216,42 @@
 	return stored.GetOperationId() == change.GetOperationId(), true, nil
 }
 
+// storeLarge moves the puts of changes that are too large for a row into objects.
+func (l *Log) storeLarge(ctx context.Context, changes []*wirepb.Change) ([]*wirepb.Change, error) {
+	rows := slices.Clone(changes)
+	for i, c := range changes {
+		if proto.Size(c) <= maxRowBytes {
+			continue
+		}
+		data, err := EncodeSnapshot(&wirepb.Snapshot{Puts: c.GetPuts()})
+		if err != nil {
+			return nil, err
+		}
+		name := changePrefix + uuid.NewString()
+		if err := l.store.PutObject(ctx, name, data); err != nil {
+			return nil, err
+		}
+		rows[i] = proto.CloneOf(c)
+		rows[i].Puts, rows[i].Object = nil, name
+	}
+	return rows, nil
+}
+
+// withExports adds the rows that tell others of the changes.
+func (l *Log) withExports(puts []*wirepb.Row, changes []*wirepb.Change) ([]*wirepb.Row, error) {
+	if l.export == nil {
+		return puts, nil
+	}
+	for _, c := range changes {
+		rows, err := l.export(c)
+		if err != nil {
+			return nil, err
+		}
+		puts = append(puts, rows...)
+	}
+	return puts, nil
+}
+
 func newTransaction(head *wirepb.Head, version uint64, changes []*wirepb.Change) (*wirepb.Transaction, error) {
 	next := &wirepb.Head{
 		Revision:         changes[len(changes)-1].GetRevision(),
--- a/internal/chain/follow.go
+++ b/internal/chain/follow.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	changes, err := decodeChanges(rows)
+	changes, err := l.decodeChanges(ctx, rows)
 	if err != nil {
 		return err
 	}
@@ -89,18 +89,37 @@
 	return nil
 }
 
-func decodeChanges(rows []*wirepb.Row) ([]*wirepb.Change, error) {
+func (l *Log) decodeChanges(ctx context.Context, rows []*wirepb.Row) ([]*wirepb.Change, error) {
 	changes := make([]*wirepb.Change, 0, len(rows))
 	for _, r := range rows {
 		change := &wirepb.Change{}
 		if err := proto.Unmarshal(r.GetValue(), change); err != nil {
 			return nil, &CorruptError{Name: r.GetKey(), Cause: err}
 		}
+		if change.GetObject() != "" {
+			if err := l.loadPuts(ctx, change); err != nil {
+				return nil, err
+			}
+		}
 		changes = append(changes, change)
 	}
 	return changes, nil
 }
 
+// loadPuts reads the puts of a change that was too large for its row.
+func (l *Log) loadPuts(ctx context.Context, change *wirepb.Change) error {
+	data, err := l.store.Object(ctx, change.GetObject())
+	if err != nil {
+		return err
+	}
+	stored, err := DecodeSnapshot(data)
+	if err != nil {
+		return err
+	}
+	change.Puts, change.Object = stored.GetPuts(), ""
+	return nil
+}
+
 func (l *Log) loadSnapshot(ctx context.Context, revision uint64) error {
 	data, err := l.store.Object(ctx, snapshotName(revision))
 	if err != nil {
@@ -122,7 +141,7 @@
 		if err != nil {
 			return nil, err
 		}
-		changes, err := decodeChanges(rows)
+		changes, err := l.decodeChanges(ctx, rows)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/chain/log.go
+++ b/internal/chain/log.go
@@ -22,6 +22,8 @@
 	Now    func() time.Time
 	// Jitter draws from 0 to 1 to spread retries; nil means random.
 	Jitter func() float64
+	// Export returns the rows of other tables that are written along with a change; nil means none.
+	Export func(change *wirepb.Change) ([]*wirepb.Row, error)
 }
 
 // Refusal says which revision a node does not apply, and why.
@@ -36,6 +38,7 @@
 	logger *zap.Logger
 	now    func() time.Time
 	jitter func() float64
+	export func(change *wirepb.Change) ([]*wirepb.Row, error)
 
 	state   atomic.Pointer[tree.State]
 	refused atomic.Pointer[Refusal]
@@ -53,7 +56,7 @@
 		cfg.Jitter = rand.Float64
 	}
 	l := &Log{
-		store: cfg.Store, logger: cfg.Logger, now: cfg.Now, jitter: cfg.Jitter,
+		store: cfg.Store, logger: cfg.Logger, now: cfg.Now, jitter: cfg.Jitter, export: cfg.Export,
 		queue:   make(chan *submission, maxWaiting),
 		changed: make(chan struct{}),
 	}
--- a/internal/chain/log_test.go
+++ b/internal/chain/log_test.go
@@ -158,7 +158,7 @@
 		mixed.Puts = append(mixed.Puts, &wirepb.Put{Path: "/teams/shop/routes/r", Value: `{"path_prefix": "/r", "service": "shop"}`})
 		require.False(t, l.Learn([]*wirepb.Change{mixed}))
 		require.Equal(t, uint64(1), l.State().Revision)
-		require.Nil(t, l.State().Match("/r"))
+		require.Nil(t, l.State().Match("", "/r"))
 		require.Equal(t, uint64(2), l.Refused().Revision)
 	})
 	t.Run("refuses a snapshot that is older", func(t *testing.T) {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -11,8 +11,11 @@
 
 	"github.com/tailscale/hujson"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/turmericdale/turmericdale/internal/local"
+	"github.com/turmericdale/turmericdale/internal/route"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -27,12 +30,17 @@
 	defaultSubsetSize   = 8
 	defaultQueueFactor  = 2
 	defaultMaxBodyBytes = 1 << 20
-	maxBodyBytes        = 16 << 20
+	maxBodyBytes        = 64 << 20
 	defaultProcessors   = 2
 	defaultPollInterval = time.Second
 	minPollInterval     = 100 * time.Millisecond
 	maxPollInterval     = 5 * time.Second
 	tokenHashBytes      = 32
+	minAnnounce         = 100 * time.Millisecond
+	maxAnnounce         = time.Minute
+	maxReserve          = 10_000
+	minMemory           = 16 << 20
+	maxMemory           = 1 << 40
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -90,6 +98,15 @@
 	PollInterval     time.Duration
 	Seeds            []netip.AddrPort
 	Processors       int
+	// ReadyAddress is not valid when /readyz of the admin API alone tells whether the node takes callers.
+	ReadyAddress     netip.AddrPort
+	Headers          *wirepb.HeaderNames
+	AnnounceInterval time.Duration
+	OperatorRows     bool
+	Service          string
+	RetryRatio       float64
+	RetryReserve     int
+	MemoryBytes      int64
 }
 
 // Load reads and checks a settings file; it returns *FileError or *Error.
@@ -153,9 +170,50 @@
 		PollInterval:     c.duration("poll_interval", s.GetPollInterval(), defaultPollInterval, minPollInterval, maxPollInterval),
 		Seeds:            c.seeds(s.GetSeeds()),
 		Processors:       c.number("processors", uint64(s.GetProcessors()), defaultProcessors, 1, 256),
+		ReadyAddress:     c.optionalAddress("ready_address", s.GetReadyAddress()),
+		Headers:          headers(s.GetHeaders()),
+		AnnounceInterval: c.duration("announce_interval", s.GetAnnounceInterval(), local.DefaultAnnounceInterval, minAnnounce, maxAnnounce),
+		OperatorRows:     s.GetOperatorRows(),
+		Service:          s.GetService(),
+		RetryRatio:       c.ratio("retry_ratio", s.GetRetryRatio(), route.DefaultRetryRatio),
+		RetryReserve:     c.number("retry_reserve", uint64(s.GetRetryReserve()), route.DefaultRetryReserve, 1, maxReserve),
+		MemoryBytes:      int64(c.number("memory_bytes", s.GetMemoryBytes(), 0, minMemory, maxMemory)),
 	}
 }
 
+// headers completes the names of headers with the product's own.
+func headers(names *wirepb.HeaderNames) *wirepb.HeaderNames {
+	complete := local.DefaultHeaders()
+	if names == nil {
+		return complete
+	}
+	own := proto.CloneOf(names)
+	if own.GetRequestId() == "" {
+		own.RequestId = complete.GetRequestId()
+	}
+	if own.GetTimeLeft() == "" {
+		own.TimeLeft = complete.GetTimeLeft()
+	}
+	return own
+}
+
+func (c *checker) optionalAddress(field, value string) netip.AddrPort {
+	if value == "" {
+		return netip.AddrPort{}
+	}
+	return c.address(field, value)
+}
+
+func (c *checker) ratio(field string, value, fallback float64) float64 {
+	if value == 0 {
+		return fallback
+	}
+	if value < 0 || value > 1 {
+		c.refuse(field, strconv.FormatFloat(value, 'g', -1, 64), "above 0 and at most 1")
+	}
+	return value
+}
+
 func (c *checker) refuse(field, value, allowed string) {
 	if c.failure == nil {
 		c.failure = &Error{File: c.file, Field: field, Value: value, Allowed: allowed}
--- /dev/null
+++ b/internal/front/server.go
@@ -0,0 +1,121 @@
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxAhead bounds the requests of one connection that run at the same time.
+	maxAhead = 32
+	// bodyTimeout bounds the time for a request's body.
+	bodyTimeout = 30 * time.Second
+	// writeTimeout bounds the time for an answer that the caller does not read.
+	writeTimeout = 10 * time.Second
+	readBuffer   = 4 << 10
+)
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config configures a Server.
+type Config struct {
+	Handler http.Handler
+	// Limits returns the limits in force.
+	Limits func() Limits
+	// Refused is called for each connection whose input is no request.
+	Refused func()
+	// Abandoned is called when a caller closes its connection before its answer.
+	Abandoned func()
+}
+
+// Server accepts callers' connections.
+type Server struct {
+	cfg     Config
+	closing atomic.Bool
+	wait    sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+// New returns a server that is not yet accepting.
+func New(cfg Config) *Server {
+	if cfg.Refused == nil {
+		cfg.Refused = func() {}
+	}
+	if cfg.Abandoned == nil {
+		cfg.Abandoned = func() {}
+	}
+	return &Server{cfg: cfg, conns: map[*conn]bool{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	for {
+		accepted, err := listener.Accept()
+		var network net.Error
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.As(err, &network) && network.Timeout():
+			continue
+		case err != nil:
+			return errors.Wrap(err, "accept caller")
+		}
+		s.wait.Go(func() { s.serve(ctx, accepted) })
+	}
+}
+
+func (s *Server) serve(ctx context.Context, accepted net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := newConn(s, accepted, cancel)
+	s.mu.Lock()
+	s.conns[c] = true
+	s.mu.Unlock()
+	c.run(ctx)
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Close makes every connection end after the answers to the requests that were read; idle ones end after a time.
+func (s *Server) Close() { s.closing.Store(true) }
+
+// CloseIdle ends the connections on which no request is under way.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle()
+	}
+}
+
+// Open returns the number of open connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// End closes all connections and waits for their tasks.
+func (s *Server) End() {
+	s.mu.Lock()
+	for c := range s.conns {
+		c.end()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/admit"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -21,14 +21,23 @@
 	HeaderTimeLeft = "Turmericdale-Time-Left-Ms"
 )
 
+// DefaultHeaders returns the product's own names.
+func DefaultHeaders() *wirepb.HeaderNames {
+	return &wirepb.HeaderNames{RequestId: HeaderCallID, TimeLeft: HeaderTimeLeft}
+}
+
+// answerGrace is the time after a call's deadline in which the upstream's own answer at the deadline may arrive.
+const answerGrace = 50 * time.Millisecond
+
 // crashInterval joins the cuts of one crash of an upstream into one failure.
 const crashInterval = time.Second
 
 // Call runs a call on an upstream beside this node; an answer with outcome not_run is certain.
 func (r *Registry) Call(ctx context.Context, head *wirepb.CallHead) *wirepb.AnswerHead {
-	ctx, cancel := context.WithTimeout(ctx, head.GetTimeLeft().AsDuration())
+	arrived := r.cfg.Now()
+	ctx, cancel := context.WithTimeout(ctx, head.GetTimeLeft().AsDuration()+answerGrace)
 	defer cancel()
-	u := r.find(head.GetService(), head.GetVersion())
+	u := r.find(head)
 	if u == nil {
 		return notRun(head, wirepb.Refusal_REFUSAL_NO_UPSTREAM)
 	}
@@ -39,6 +48,9 @@
 		return refused(head, u, err)
 	}
 	started := r.cfg.Now()
+	if head.GetTimeLeft() != nil {
+		head.TimeLeft = durationpb.New(head.GetTimeLeft().AsDuration() - started.Sub(arrived))
+	}
 	age := u.age(started)
 	answer, result := u.run(ctx, head, r.cfg.MaxBodyBytes)
 	took := r.cfg.Now().Sub(started)
@@ -82,20 +94,27 @@
 	if err != nil {
 		return notRun(head, wirepb.Refusal_REFUSAL_EXPIRED), ResultUnjudged
 	}
-	response, err := u.transport.RoundTrip(request)
+	read, err := u.conns.exchange(ctx, request, u.headers.GetRequestId(), head.GetCallId(), limit)
 	if err != nil {
 		return u.failed(ctx, head, err)
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := readBody(response, limit)
-	if err != nil {
-		return u.failed(ctx, head, err)
+	if u.refused(read.response) {
+		refusal := notRun(head, wirepb.Refusal_REFUSAL_OVERLOADED)
+		refusal.Arrived = true
+		return refusal, ResultShed
 	}
-	answer := &wirepb.AnswerHead{
-		Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: uint32(response.StatusCode),
-		Headers: encodeHeaders(response.Header), Body: body,
+	return &wirepb.AnswerHead{
+		Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: uint32(read.response.StatusCode), Arrived: true,
+		Headers: encodeHeaders(read.response.Header), Body: read.body,
+	}, judge(read.response)
+}
+
+// refused reports whether an upstream says that it did not run the call.
+func (u *upstream) refused(response *http.Response) bool {
+	if name := u.headers.GetNotRun(); name != "" && response.Header.Get(name) != "" {
+		return true
 	}
-	return answer, judge(response)
+	return u.headers.GetExpectedUpstream() != "" && response.StatusCode == http.StatusMisdirectedRequest
 }
 
 func judge(response *http.Response) Result {
@@ -124,13 +143,13 @@
 	return buffer.Bytes(), nil
 }
 
-// failed says what is known after an error: a refused connection proves that the call did not run.
+// failed says what is known after an error: a connection that was not had proves that the call did not run.
 func (u *upstream) failed(ctx context.Context, head *wirepb.CallHead, err error) (*wirepb.AnswerHead, Result) {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	var unsent *SendError
+	if errors.As(err, &unsent) {
 		return notRun(head, wirepb.Refusal_REFUSAL_UNREACHABLE), ResultUnjudged
 	}
-	answer := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error()}
+	answer := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error(), Arrived: true}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return answer, ResultAbandoned
@@ -161,20 +180,36 @@
 		request.Header.Add(h.GetName(), string(h.GetValue()))
 	}
 	request.Host = string(head.GetHost())
-	request.Header.Set(HeaderCallID, head.GetCallId())
-	if deadline, found := ctx.Deadline(); found {
-		request.Header.Set(HeaderTimeLeft, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	u.setOwnHeaders(ctx, request, head)
+	body := head.GetBody()
+	request.ContentLength = int64(len(body))
+	if len(body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	setBody(request, head)
 	return request, nil
 }
 
-// setBody gives calls a body that cannot be rewound: net/http would otherwise send a request again by itself, on
-// every idle connection in turn, when its method or an Idempotency-Key header makes it look repeatable.
-func setBody(request *http.Request, head *wirepb.CallHead) {
-	body := head.GetBody()
-	request.ContentLength = int64(len(body))
-	request.Body = io.NopCloser(bytes.NewReader(body))
+// setOwnHeaders sets what upstreams may rely on, whatever the caller sent.
+func (u *upstream) setOwnHeaders(ctx context.Context, request *http.Request, head *wirepb.CallHead) {
+	request.Header.Set(u.headers.GetRequestId(), head.GetCallId())
+	if left := head.GetTimeLeft(); left != nil {
+		deadline, found := ctx.Deadline()
+		millis := left.AsDuration().Milliseconds()
+		if found {
+			millis = min(millis, time.Until(deadline).Milliseconds())
+		}
+		request.Header.Set(u.headers.GetTimeLeft(), strconv.FormatInt(max(millis, 0), 10))
+	}
+	if name := u.headers.GetExpectedUpstream(); name != "" && u.id != "" {
+		request.Header.Set(name, u.id)
+	}
+	if name := u.headers.GetCallerService(); name != "" {
+		request.Header.Set(name, head.GetOrigin())
+	}
+	if request.Header.Get("User-Agent") == "" {
+		// An empty value keeps net/http from adding one of its own.
+		request.Header.Set("User-Agent", "")
+	}
 }
 
 func encodeHeaders(header http.Header) []*wirepb.Header {
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -198,7 +198,7 @@
 		})
 	}
 	t.Run("calls that wait do not run on a version that took the place of theirs", func(t *testing.T) {
-		waiting := f.find("shop", "v1").gate
+		waiting := f.find(newHead()).gate
 		next := f.announcement()
 		next.Version = "v2"
 		require.NoError(t, f.Announce(next))
--- a/internal/local/errors.go
+++ b/internal/local/errors.go
@@ -23,9 +23,21 @@
 // CutError says that an answer of an upstream ended early.
 type CutError struct {
 	Cause error
+	// Kept says that the connection had served calls before.
+	Kept bool
 }
 
 func (e *CutError) Error() string { return fmt.Sprintf("answer cut: %v", e.Cause) }
 
 // Unwrap returns the cause.
 func (e *CutError) Unwrap() error { return e.Cause }
+
+// SendError says that no connection to the upstream could be had; nothing was sent.
+type SendError struct {
+	Cause error
+}
+
+func (e *SendError) Error() string { return fmt.Sprintf("connect to upstream: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// silenceLimit is how long an upstream may not announce itself before it gets no new work.
-	silenceLimit = 2500 * time.Millisecond
-	// suspectSilence is how long an upstream may be silent before its time-outs are blamed on its process.
-	suspectSilence = 1500 * time.Millisecond
+	// DefaultAnnounceInterval is the interval of the product's own upstreams.
+	DefaultAnnounceInterval = 600 * time.Millisecond
+	// silentIntervals is how many intervals an upstream may not announce itself before it gets no new work: announcements
+	// may be late by two.
+	silentIntervals = 4
+	// suspectIntervals is how many intervals an upstream may be silent before its time-outs are blamed on its process.
+	suspectIntervals = 2.5
 	// returnTime is how long an upstream that left is not taken in again, lest an announcement that was overtaken does it.
 	returnTime     = time.Second
 	expireInterval = 250 * time.Millisecond
@@ -74,6 +77,10 @@
 	QueueFactor int
 	// MaxBodyBytes bounds an answer.
 	MaxBodyBytes int64
+	// Headers names the headers of calls; nil means the product's own.
+	Headers *wirepb.HeaderNames
+	// AnnounceInterval is the time between two announcements of an upstream; zero means the default.
+	AnnounceInterval time.Duration
 	// Forbid returns why a version gets no call now, or unspecified.
 	Forbid func(exposure Exposure) wirepb.Refusal
 	// Observe takes what each call showed.
@@ -93,6 +100,12 @@
 
 // New returns an empty registry.
 func New(cfg Config) *Registry {
+	if cfg.Headers == nil {
+		cfg.Headers = DefaultHeaders()
+	}
+	if cfg.AnnounceInterval == 0 {
+		cfg.AnnounceInterval = DefaultAnnounceInterval
+	}
 	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}}
 }
 
@@ -130,25 +143,56 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, found := r.upstreams[address]
+	if found && known.stale(a) {
+		return false
+	}
 	if found && known.same(a) && !known.leaving {
-		known.heard = r.cfg.Now()
+		known.heard, known.sequence = r.cfg.Now(), a.GetSequence()
 		if a.GetLeaving() {
 			r.leave(known, "leaving")
 		}
 		return a.GetLeaving()
 	}
-	if a.GetLeaving() || found && r.cfg.Now().Sub(known.left) < returnTime || !found && len(r.upstreams) >= maxUpstreams {
+	if a.GetLeaving() || found && !known.succeeded(a, r.cfg.Now()) || !found && len(r.upstreams) >= maxUpstreams {
 		return false
 	}
 	if found {
 		// Calls that wait for the version that was here before must not run on the one that took its place.
 		known.gate.Close()
+		known.close()
 	}
 	r.upstreams[address] = newUpstream(address, a, r.cfg)
 	r.cfg.Logger.Info("upstream announced", zap.String("service", a.GetService()), zap.String("version", a.GetVersion()), zap.Stringer("address", address))
 	return true
 }
 
+// Leave takes the upstream with an identity out, as if it had announced that it leaves.
+func (r *Registry) Leave(id string) {
+	if r.leaveByID(id) {
+		r.publish()
+	}
+}
+
+func (r *Registry) leaveByID(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, u := range r.upstreams {
+		if u.id == id && !u.leaving {
+			r.leave(u, "left")
+			return true
+		}
+	}
+	return false
+}
+
+// succeeded reports whether an announcement is of another life of the upstream that left, or of another one in its place.
+func (u *upstream) succeeded(a *wirepb.Announcement, now time.Time) bool {
+	if a.GetStarted() != nil {
+		return !u.startedAt(a) || u.id != a.GetId()
+	}
+	return now.Sub(u.left) >= returnTime
+}
+
 func (r *Registry) leave(u *upstream, why string) {
 	u.leaving, u.left = true, r.cfg.Now()
 	u.gate.Close()
@@ -177,11 +221,11 @@
 	changed := false
 	for address, u := range r.upstreams {
 		silence := r.cfg.Now().Sub(u.heard)
-		if !u.leaving && silence > silenceLimit {
+		if !u.leaving && silence > r.silenceLimit() {
 			r.leave(u, "silent")
 			changed = true
 		}
-		if u.leaving && u.gate.Running() == 0 && silence > 4*silenceLimit {
+		if u.leaving && u.gate.Running() == 0 && silence > 4*r.silenceLimit() {
 			u.close()
 			delete(r.upstreams, address)
 		}
@@ -189,10 +233,12 @@
 	return changed
 }
 
+func (r *Registry) silenceLimit() time.Duration { return silentIntervals * r.cfg.AnnounceInterval }
+
 func (r *Registry) silent(u *upstream) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.Now().Sub(u.heard) > suspectSilence
+	return r.cfg.Now().Sub(u.heard) > time.Duration(suspectIntervals*float64(r.cfg.AnnounceInterval))
 }
 
 func (r *Registry) publish() {
@@ -263,13 +309,21 @@
 	return list
 }
 
+// wanted reports whether a call may go to a version.
+func wanted(head *wirepb.CallHead, version string) bool {
+	if head.GetVersion() == "" {
+		return head.GetExceptVersion() == "" || version != head.GetExceptVersion()
+	}
+	return version == head.GetVersion()
+}
+
 // find returns the least loaded upstream of a version that takes calls, or nil.
-func (r *Registry) find(service, version string) *upstream {
+func (r *Registry) find(head *wirepb.CallHead) *upstream {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var best *upstream
 	for _, u := range r.upstreams {
-		if u.leaving || u.service != service || u.version != version {
+		if u.leaving || u.service != head.GetService() || !wanted(head, u.version) {
 			continue
 		}
 		if best == nil || u.gate.LoadPermille() < best.gate.LoadPermille() {
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,8 +13,6 @@
 
 const (
 	connectTimeout = time.Second
-	idleTimeout    = 5 * time.Minute
-	warmTimeout    = 2 * time.Second
 	probeTimeout   = 250 * time.Millisecond
 	// freshTime is the uptime below which an upstream cannot have had calls through an earlier life of this node.
 	freshTime = 10 * time.Second
@@ -24,6 +20,11 @@
 
 // upstream is one upstream beside this node; leaving, left and heard are guarded by the registry.
 type upstream struct {
+	// id is empty for an upstream that does not tell it.
+	id string
+	// started and sequence order announcements, where upstreams tell them.
+	started     time.Time
+	sequence    uint64
 	service     string
 	version     string
 	address     netip.AddrPort
@@ -34,9 +35,10 @@
 	heard       time.Time
 
 	// fresh says that the upstream had no call before its first announcement here.
-	fresh     bool
-	gate      *admit.Gate
-	transport *http.Transport
+	fresh   bool
+	gate    *admit.Gate
+	conns   *conns
+	headers *wirepb.HeaderNames
 	// firstCall is the time of the first call in nanoseconds, or 0.
 	firstCall atomic.Int64
 	// lastCrash is the time of the newest counted crash in nanoseconds.
@@ -45,46 +47,41 @@
 
 func newUpstream(address netip.AddrPort, a *wirepb.Announcement, cfg Config) *upstream {
 	u := &upstream{
+		id: a.GetId(), sequence: a.GetSequence(),
 		service: a.GetService(), version: a.GetVersion(), address: address,
 		slots: a.GetSlots(), connections: a.GetConnections(), heard: cfg.Now(),
 		fresh: a.GetUptime() != nil && a.GetUptime().AsDuration() < freshTime,
 		gate: admit.NewGate(admit.Config{
 			Slots: int(a.GetSlots()), Waiting: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
 		}),
-		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-			MaxConnsPerHost:     int(a.GetConnections()),
-			MaxIdleConnsPerHost: int(a.GetSlots()),
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
+		conns: newConns(address, cfg.Now), headers: cfg.Headers,
+	}
+	if a.GetStarted() != nil {
+		u.started = a.GetStarted().AsTime()
 	}
-	go u.warm()
 	return u
 }
 
 func (u *upstream) same(a *wirepb.Announcement) bool {
-	return u.service == a.GetService() && u.version == a.GetVersion() &&
+	return u.id == a.GetId() && u.startedAt(a) && u.service == a.GetService() && u.version == a.GetVersion() &&
 		u.slots == a.GetSlots() && u.connections == a.GetConnections()
 }
 
-// warm opens a connection for each slot, so that no call waits for one.
-func (u *upstream) warm() {
-	ctx, cancel := context.WithTimeout(context.Background(), warmTimeout)
-	defer cancel()
-	var wait sync.WaitGroup
-	for range u.slots {
-		wait.Go(func() {
-			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.address.String()+"/health", nil)
-			if err != nil {
-				return
-			}
-			if response, err := u.transport.RoundTrip(request); err == nil {
-				_ = response.Body.Close()
-			}
-		})
+// startedAt reports whether an announcement is of the same start of the upstream.
+func (u *upstream) startedAt(a *wirepb.Announcement) bool {
+	return a.GetStarted() == nil || u.started.Equal(a.GetStarted().AsTime())
+}
+
+// stale reports whether an announcement was overtaken by one that is known already.
+func (u *upstream) stale(a *wirepb.Announcement) bool {
+	switch {
+	case a.GetStarted() == nil || u.started.IsZero():
+		return false
+	case a.GetStarted().AsTime().Before(u.started):
+		return true
+	default:
+		return u.startedAt(a) && u.id == a.GetId() && a.GetSequence() <= u.sequence
 	}
-	wait.Wait()
 }
 
 func (u *upstream) exposure() Exposure {
@@ -107,4 +104,4 @@
 	return true
 }
 
-func (u *upstream) close() { u.transport.CloseIdleConnections() }
+func (u *upstream) close() { u.conns.close() }
--- a/internal/move/forbid.go
+++ b/internal/move/forbid.go
@@ -15,10 +15,10 @@
 		return wirepb.Refusal_REFUSAL_NO_UPSTREAM
 	}
 	if service.Record == nil {
-		return allowOnly(exposure.Version == service.Stable)
+		return allowOnly(service.Open || exposure.Version == service.Stable)
 	}
 	record := service.Record
-	if exposure.Version == record.GetFrom() {
+	if exposure.Version == record.GetFrom() || service.Open && exposure.Version != record.GetTo() {
 		return wirepb.Refusal_REFUSAL_UNSPECIFIED
 	}
 	if exposure.Version != record.GetTo() {
--- a/internal/move/view.go
+++ b/internal/move/view.go
@@ -41,13 +41,13 @@
 		v[key.route] = route
 	}
 	target := route.from
-	switch key.version {
-	case record.GetFrom():
-		route.samples = append(route.samples, s.samples...)
-		route.coldStart = longer(route.coldStart, s.coldStart)
-	case record.GetTo():
+	switch {
+	case key.version == record.GetTo():
 		target = route.to
 		route.toTotal += s.total
+	case key.version == record.GetFrom(), record.GetFrom() == "":
+		route.samples = append(route.samples, s.samples...)
+		route.coldStart = longer(route.coldStart, s.coldStart)
 	default:
 		return
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -24,6 +24,7 @@
 	"github.com/turmericdale/turmericdale/internal/peer"
 	"github.com/turmericdale/turmericdale/internal/relay"
 	"github.com/turmericdale/turmericdale/internal/route"
+	"github.com/turmericdale/turmericdale/internal/source"
 	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -37,7 +38,7 @@
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
 		newStore, newLog, newMembers, newPool, newMeter, newMover, newRegistry, newHub,
-		newPicker, newClaims, newProxy, newStatus, newAdmin, newNode,
+		newPicker, newClaims, newImporter, newProxy, newStatus, newAdmin, newNode,
 	}
 	for _, c := range constructors {
 		if err := container.Provide(c); err != nil {
@@ -55,8 +56,18 @@
 	return store.New(store.Config{Address: s.PlatformAddress})
 }
 
-func newLog(client *store.Client, logger *zap.Logger, now clock) *chain.Log {
-	return chain.New(chain.Config{Store: client, Logger: logger, Now: now})
+func newLog(s *conf.Node, client *store.Client, logger *zap.Logger, now clock) *chain.Log {
+	cfg := chain.Config{Store: client, Logger: logger, Now: now}
+	if s.OperatorRows {
+		cfg.Export = source.Export
+	}
+	return chain.New(cfg)
+}
+
+func newImporter(logger *zap.Logger, now clock, client *store.Client, log *chain.Log, hub *relay.Hub, metrics *meter.Meter) *source.Importer {
+	return source.New(source.Config{
+		Logger: logger, Now: now, Store: client, Log: log, Rank: hub.Rank, Refused: func() { metrics.Garbage("operator") },
+	})
 }
 
 func newMembers(s *conf.Node, now clock) *member.Table {
@@ -117,6 +128,7 @@
 ) *local.Registry {
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
+		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
 		Observe: evidence.Observe,
 		Forbid: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
@@ -155,7 +167,8 @@
 	registry *local.Registry, claims *claim.Book, metrics *meter.Meter,
 ) *route.Proxy {
 	return route.New(route.Config{
-		Node: s.Name, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
+		Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
+		Budget: route.BudgetConfig{Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve)},
 		Picker: picker, Pool: pool, Local: registry, Claims: claims,
 		Observe: metrics.Call, Garbage: func() { metrics.Garbage("caller") }, Retried: metrics.Retried,
 	})
@@ -173,7 +186,7 @@
 	n := &Node{
 		settings: in.Settings, logger: in.Logger, now: in.Now, store: in.Store, log: in.Log, members: in.Members,
 		verdicts: in.Verdicts, pool: in.Pool, mover: in.Mover, registry: in.Registry, hub: in.Hub, picker: in.Picker,
-		claims: in.Claims, proxy: in.Proxy, admin: in.Admin, metrics: in.Metrics,
+		importer: in.Importer, claims: in.Claims, proxy: in.Proxy, admin: in.Admin, metrics: in.Metrics,
 	}
 	in.Status.node = n
 	n.register()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/turmericdale/turmericdale/internal/claim"
 	"github.com/turmericdale/turmericdale/internal/conf"
 	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/front"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/member"
 	"github.com/turmericdale/turmericdale/internal/meter"
@@ -24,6 +25,7 @@
 	"github.com/turmericdale/turmericdale/internal/peer"
 	"github.com/turmericdale/turmericdale/internal/relay"
 	"github.com/turmericdale/turmericdale/internal/route"
+	"github.com/turmericdale/turmericdale/internal/source"
 	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -56,6 +58,7 @@
 	Hub      *relay.Hub
 	Picker   *route.Picker
 	Claims   *claim.Book
+	Importer *source.Importer
 	Proxy    *route.Proxy
 	Admin    *admin.Server
 	Metrics  *meter.Meter
@@ -77,6 +80,7 @@
 	hub      *relay.Hub
 	picker   *route.Picker
 	claims   *claim.Book
+	importer *source.Importer
 	proxy    *route.Proxy
 	admin    *admin.Server
 	metrics  *meter.Meter
@@ -86,6 +90,9 @@
 	callers  net.Listener
 	admins   net.Listener
 	locals   net.Listener
+	// readies is nil when only the admin API tells whether the node takes callers.
+	readies net.Listener
+	front   *front.Server
 }
 
 func (n *Node) listen() error {
@@ -99,6 +106,11 @@
 	if n.locals, err = listener(n.settings.AnnounceAddress); err != nil {
 		return err
 	}
+	if n.settings.ReadyAddress.IsValid() {
+		if n.readies, err = listener(n.settings.ReadyAddress); err != nil {
+			return err
+		}
+	}
 	peers, err := listener(n.settings.PeerAddress)
 	if err != nil {
 		return err
@@ -166,13 +178,48 @@
 	run(n.mover.Run)
 	run(n.registry.Expire)
 	run(n.trimClaims)
+	if n.settings.OperatorRows {
+		run(n.importer.Run)
+	}
 	run(func(ctx context.Context) { n.picker.Run(ctx, n.members.Feed.Changed) })
 	group.Go(func() error { return n.peers.Serve(ctx) })
-	return []*http.Server{
-		n.serve(group, n.callers, n.closing(n.proxy), "caller", func() { n.awaitConfiguration(ctx) }),
-		n.serve(group, n.admins, n.closing(n.admin.Handler()), "admin", func() {}),
-		n.serve(group, n.locals, n.announcements(), "announce", func() {}),
+	n.serveCallers(group, ctx)
+	servers := []*http.Server{
+		n.serve(group, n.admins, n.closing(n.admin.Handler()), "admin"),
+		n.serve(group, n.locals, n.announcements(), "announce"),
+	}
+	if n.readies != nil {
+		servers = append(servers, n.serve(group, n.readies, n.readiness(), "ready"))
+	}
+	return servers
+}
+
+// serveCallers takes callers as soon as there is a configuration, or after a short wait without one.
+func (n *Node) serveCallers(group *errgroup.Group, ctx context.Context) {
+	n.front = front.New(front.Config{Handler: n.proxy, Limits: n.limits, Refused: func() { n.metrics.Garbage("caller") }})
+	group.Go(func() error {
+		n.awaitConfiguration(ctx)
+		return errors.Wrap(n.front.Serve(ctx, n.callers), "serve callers")
+	})
+}
+
+// limits returns what callers may send: what the operator says, within the node's settings.
+func (n *Node) limits() front.Limits {
+	limits := front.Limits{HeaderBytes: maxHeaders, BodyBytes: n.settings.MaxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	declared := n.log.State().Limits
+	if declared.HeaderBytes > 0 {
+		limits.HeaderBytes = int64(declared.HeaderBytes)
+	}
+	if declared.BodyBytes > 0 {
+		limits.BodyBytes = min(declared.BodyBytes, limits.BodyBytes)
+	}
+	if declared.HeaderTimeout > 0 {
+		limits.HeaderTimeout = declared.HeaderTimeout
+	}
+	if declared.IdleTimeout > 0 {
+		limits.IdleTimeout = declared.IdleTimeout
 	}
+	return limits
 }
 
 // awaitConfiguration lets callers of a node that just started wait a little rather than be refused.
@@ -190,14 +237,13 @@
 	}
 }
 
-func (n *Node) serve(group *errgroup.Group, l net.Listener, handler http.Handler, face string, await func()) *http.Server {
+func (n *Node) serve(group *errgroup.Group, l net.Listener, handler http.Handler, face string) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaders,
 		ErrorLog: zap.NewStdLog(zap.NewNop()),
 	}
 	watchInput(server, func() { n.metrics.Garbage(face) })
 	group.Go(func() error {
-		await()
 		if err := server.Serve(l); !n.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve "+l.Addr().String())
 		}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,10 +4,12 @@
 	"io"
 	"net/http"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/turmericdale/turmericdale/internal/relay"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 const maxAnnouncementBytes = 16 << 10
@@ -57,9 +59,28 @@
 			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
 		}
 	})
+	n.faces().Servers(mux)
 	return mux
 }
 
+// readiness serves the question whether this node takes callers.
+func (n *Node) readiness() http.Handler {
+	mux := http.NewServeMux()
+	n.faces().Readiness(mux)
+	return mux
+}
+
+// faces are the platform's calls to this node.
+func (n *Node) faces() platform.Faces {
+	return platform.Faces{
+		Announce: n.registry.Announce, Leave: n.registry.Leave, Ready: (&statusSource{node: n}).ready,
+		Refused: func(err error) {
+			n.metrics.Garbage("announce")
+			n.logger.Warn("announcement refused", zap.Error(err))
+		},
+	}
+}
+
 // register adds the counts that the parts keep themselves to the metrics.
 func (n *Node) register() {
 	m := n.metrics
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -37,6 +37,7 @@
 	n.hub.Leave(context.Background())
 	started := n.now()
 	idleSince := started
+	n.front.Close()
 	// Callers that connect in the first moments are still served; then new ones find another node.
 	time.Sleep(shortestDrain)
 	_ = n.callers.Close()
@@ -45,6 +46,7 @@
 			idleSince = n.now()
 		}
 		if n.now().Sub(idleSince) >= quietTime {
+			n.front.CloseIdle()
 			return nil
 		}
 		time.Sleep(drainPoll)
@@ -60,6 +62,8 @@
 func (n *Node) shutdown(servers []*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	_ = n.callers.Close()
+	n.front.End()
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
 		_ = s.Close()
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -134,6 +134,29 @@
 	return list
 }
 
+// Rank returns this node's place among the relays of all data centres, the first slots before the second ones, or a
+// negative number when it is no relay.
+func (h *Hub) Rank() int {
+	if !h.Relay() {
+		return -1
+	}
+	rank := 0
+	own := h.slotRank()
+	for _, o := range h.freshLeases() {
+		if o.lease.GetNode() != h.cfg.Node && slotOf(o.key)+o.key < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (h *Hub) slotRank() string {
+	if o := h.heldLease(); o != nil {
+		return slotOf(o.key) + o.key
+	}
+	return ""
+}
+
 func (h *Hub) slotKey(slot int) string {
 	return leasePrefix + h.cfg.DataCentre + "/" + strconv.Itoa(slot)
 }
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -1,13 +1,14 @@
 package route
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -19,22 +20,30 @@
 )
 
 const (
-	retryAfterSeconds = "1"
-	maxStatus         = 599
+	// A caller waits a third of its time at most: the shortest deadlines of the users are below a second.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 400 * time.Millisecond
+	maxStatus     = 599
 )
 
+// retryAfter spreads the callers that come back, in seconds.
+func retryAfter() string {
+	wait := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+}
+
 // writeAnswer gives a caller the whole answer of its call, or what is known of it.
-func writeAnswer(w http.ResponseWriter, answer *wirepb.AnswerHead) {
-	w.Header().Set(local.HeaderCallID, answer.GetCallId())
+func (p *Proxy) writeAnswer(w http.ResponseWriter, answer *wirepb.AnswerHead, late bool) {
+	w.Header().Set(p.cfg.Headers.GetRequestId(), answer.GetCallId())
 	switch answer.GetOutcome() {
 	case wirepb.Outcome_OUTCOME_ANSWERED:
 		if answer.GetStatus() < http.StatusOK || answer.GetStatus() > maxStatus {
 			writeFailure(w, http.StatusBadGateway, &wirepb.Failure{Kind: "outcome_unknown", Message: "the answer has no status"})
 			return
 		}
-		writeAnswered(w, answer)
+		p.writeAnswered(w, answer)
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
-		w.Header().Set("Retry-After", retryAfterSeconds)
+		w.Header().Set("Retry-After", retryAfter())
 		writeFailure(w, http.StatusServiceUnavailable, &wirepb.Failure{
 			Kind: refusalKind(answer.GetRefusal()), Message: answer.GetDetail(), NotRun: true,
 		})
@@ -43,12 +52,15 @@
 		if status == 0 {
 			status = http.StatusBadGateway
 		}
+		if status == http.StatusBadGateway && late {
+			status = http.StatusGatewayTimeout
+		}
 		writeFailure(w, status, &wirepb.Failure{Kind: "outcome_unknown", Message: answer.GetDetail()})
 	}
 }
 
-func writeAnswered(w http.ResponseWriter, answer *wirepb.AnswerHead) {
-	hop := hopHeaders(http.Header{})
+func (p *Proxy) writeAnswered(w http.ResponseWriter, answer *wirepb.AnswerHead) {
+	hop := p.hopHeaders(http.Header{})
 	for _, h := range answer.GetHeaders() {
 		if !hop[h.GetName()] {
 			w.Header().Add(h.GetName(), string(h.GetValue()))
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -14,7 +14,8 @@
 )
 
 const (
-	maxAttempts  = 4
+	// maxHops bounds the nodes that one call is offered to: most refusals come from nodes whose upstream did not see it.
+	maxHops      = 8
 	frameReserve = 128 << 10
 	trialFactor  = 10
 	minTrialTime = 150 * time.Millisecond
@@ -22,12 +23,13 @@
 
 // run tries upstreams until one answers or no further try is allowed.
 func (p *Proxy) run(ctx context.Context, c *call) *wirepb.AnswerHead {
-	p.budget.earn(c.route.Service.Name)
+	p.budget.earn(c.service.Name)
 	group := p.draw(c)
 	toNew := group == move.GroupNew
 	c.head.Control = group == move.GroupControl
 	var ran *wirepb.AnswerHead
-	for attempt := 1; ; attempt++ {
+	arrived := 0
+	for hop := 1; ; hop++ {
 		answer := &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
 		chosen := p.choose(c, toNew)
 		if chosen != nil {
@@ -37,11 +39,14 @@
 		if toNew && c.route.Idempotent && answer.GetStatus() >= http.StatusInternalServerError {
 			p.confirms.begin(c.route, p.cfg.Now())
 		}
+		if answer.GetArrived() || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
+			arrived++
+		}
 		// A refusal of the last try says nothing of an earlier one that may have run.
 		if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && ran != nil {
 			answer = ran
 		}
-		if chosen == nil || attempt == maxAttempts || ctx.Err() != nil || !p.again(c, answer, toNew) {
+		if chosen == nil || hop == maxHops || arrived >= c.route.Attempts || p.expired(ctx, c) || !p.again(c, answer, toNew) {
 			return answer
 		}
 		if answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
@@ -52,11 +57,16 @@
 	}
 }
 
+// expired reports whether no time is left for another try.
+func (p *Proxy) expired(ctx context.Context, c *call) bool {
+	return ctx.Err() != nil || !p.cfg.Now().Before(c.deadline)
+}
+
 // draw returns the group of a call; those that confirm a failure go to the new version as long as it has a share.
 func (p *Proxy) draw(c *call) move.Group {
 	now := p.cfg.Now()
-	group := p.cfg.Verdicts.Draw(c.route.Service, now)
-	if group != move.GroupNew && c.route.Idempotent && p.cfg.Verdicts.Share(c.route.Service) > 0 && p.confirms.take(c.route, now) {
+	group := p.cfg.Verdicts.Draw(c.service, now)
+	if group != move.GroupNew && c.route.Idempotent && p.cfg.Verdicts.Share(c.service) > 0 && p.confirms.take(c.route, now) {
 		return move.GroupNew
 	}
 	return group
@@ -64,33 +74,40 @@
 
 // choose picks an upstream of the version that the call goes to; the earlier version serves when that has none.
 func (p *Proxy) choose(c *call, toNew bool) *choice {
-	service := c.route.Service
+	service := c.service
 	if toNew {
-		c.head.Version = service.Record.GetTo()
-		if chosen := p.cfg.Picker.pick(service.Name, c.head.GetVersion(), c.tried); chosen != nil {
+		if chosen := p.pick(c, service.Record.GetTo(), ""); chosen != nil {
 			return chosen
 		}
 	}
-	c.head.Version = p.cfg.Verdicts.Current(service)
-	chosen := p.cfg.Picker.pick(service.Name, c.head.GetVersion(), c.tried)
+	version, except := p.cfg.Verdicts.Current(service), ""
+	if version == "" {
+		except = service.Record.GetTo()
+	}
+	chosen := p.pick(c, version, except)
 	if chosen == nil && service.Record.GetState() == wirepb.MoveState_MOVE_STATE_DONE {
-		c.head.Version = service.Record.GetFrom()
-		chosen = p.cfg.Picker.pick(service.Name, c.head.GetVersion(), c.tried)
+		chosen = p.pick(c, service.Record.GetFrom(), "")
 	}
 	return chosen
 }
 
+// pick chooses an upstream of a version, or of all versions but one, and notes them in the call.
+func (p *Proxy) pick(c *call, version, except string) *choice {
+	c.head.Version, c.head.ExceptVersion = version, except
+	return p.cfg.Picker.pick(subsetKey{service: c.service.Name, version: version, except: except}, c.tried)
+}
+
 // again reports whether a call may be sent to another upstream: when it has certainly not run, or when it is
 // idempotent and this is the outermost of nested calls, so that retries do not multiply with the depth.
 func (p *Proxy) again(c *call, answer *wirepb.AnswerHead, toNew bool) bool {
 	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
-		return c.fallsBack(toNew) || p.budget.spend(c.route.Service.Name)
+		return c.fallsBack(toNew) || !answer.GetArrived() || p.budget.spend(c.service.Name)
 	}
 	failed := answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN || answer.GetStatus() >= http.StatusInternalServerError
 	if !failed || !c.route.Idempotent {
 		return false
 	}
-	return c.fallsBack(toNew) || c.depth == 0 && p.budget.spend(c.route.Service.Name)
+	return c.fallsBack(toNew) || c.depth == 0 && p.budget.spend(c.service.Name)
 }
 
 // fallsBack allows one try outside the budget for a call that was sent to a version on trial.
@@ -116,16 +133,16 @@
 	return answer
 }
 
-// tryTime leaves time for another try of an idempotent call; a version on trial gets little more than the earlier one takes.
+// tryTime returns how long a try may last; a version on trial gets little more than the earlier one takes.
 func (p *Proxy) tryTime(c *call, toNew bool, left time.Duration) time.Duration {
 	switch {
 	case !c.route.Idempotent:
-		return left
+		return left + answerGrace
 	case toNew:
-		usual := p.cfg.Picker.usualTime(c.route.Service.Name, p.cfg.Verdicts.Current(c.route.Service))
+		usual := p.cfg.Picker.usualTime(c.service.Name, p.cfg.Verdicts.Current(c.service), c.service.Record.GetTo())
 		return min(max(trialFactor*usual, minTrialTime), left/2)
 	default:
-		return left/2 + left/4
+		return left + answerGrace
 	}
 }
 
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -2,18 +2,36 @@
 
 import "sync"
 
+// The defaults of BudgetConfig.
 const (
-	budgetShare = 0.1
-	budgetCap   = 10
+	DefaultRetryRatio   = 0.1
+	DefaultRetryReserve = 10
 )
 
+// BudgetConfig bounds the retries of one node; a zero stands for the default.
+type BudgetConfig struct {
+	// Ratio is the number of retries that each call allows.
+	Ratio float64
+	// Reserve is the largest number of retries at once.
+	Reserve float64
+}
+
 // budget bounds retries to a share of a service's calls, so that retries cannot multiply an overload.
 type budget struct {
+	cfg    BudgetConfig
 	mu     sync.Mutex
 	tokens map[string]float64
 }
 
-func newBudget() *budget { return &budget{tokens: map[string]float64{}} }
+func newBudget(cfg BudgetConfig) *budget {
+	if cfg.Ratio == 0 {
+		cfg.Ratio = DefaultRetryRatio
+	}
+	if cfg.Reserve == 0 {
+		cfg.Reserve = DefaultRetryReserve
+	}
+	return &budget{cfg: cfg, tokens: map[string]float64{}}
+}
 
 // earn credits one call of a service.
 func (b *budget) earn(service string) {
@@ -21,9 +39,9 @@
 	defer b.mu.Unlock()
 	tokens, found := b.tokens[service]
 	if !found {
-		tokens = budgetCap
+		tokens = b.cfg.Reserve
 	}
-	b.tokens[service] = min(tokens+budgetShare, budgetCap)
+	b.tokens[service] = min(tokens+b.cfg.Ratio, b.cfg.Reserve)
 }
 
 // spend reports whether a retry is within the budget.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -58,7 +58,17 @@
 
 type subsetKey struct {
 	service string
+	// version is empty for all versions but the excepted one.
 	version string
+	except  string
+}
+
+// serves reports whether an upstream is of the versions wanted.
+func (k subsetKey) serves(u *member.Upstream) bool {
+	if k.version == "" {
+		return k.except == "" || u.Version != k.except
+	}
+	return u.Version == k.version
 }
 
 type subset struct {
@@ -96,10 +106,10 @@
 }
 
 // pick returns an upstream that was not tried, or nil, and counts a call in flight to it.
-func (p *Picker) pick(service, version string, tried map[*stats]bool) *choice {
+func (p *Picker) pick(key subsetKey, tried map[*stats]bool) *choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.subset(subsetKey{service: service, version: version})
+	s := p.subset(key)
 	chosen := p.choose(s, tried)
 	if chosen != nil {
 		chosen.stats.inFlight++
@@ -141,11 +151,15 @@
 }
 
 // usualTime returns the slowest of the average times of a version's upstreams.
-func (p *Picker) usualTime(service, version string) time.Duration {
+func (p *Picker) usualTime(service, version, except string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	key := subsetKey{service: service, version: version}
+	if version == "" {
+		key.except = except
+	}
 	usual := time.Duration(0)
-	for _, tier := range p.subset(subsetKey{service: service, version: version}).tiers {
+	for _, tier := range p.subset(key).tiers {
 		for _, c := range tier {
 			usual = max(usual, c.stats.latency)
 		}
@@ -203,7 +217,7 @@
 	}
 	s := &subset{all: all}
 	taken := 0
-	for _, u := range p.ordered(all, key.version) {
+	for _, u := range p.ordered(all, key) {
 		if taken == p.cfg.SubsetSize {
 			break
 		}
@@ -226,7 +240,7 @@
 }
 
 func (p *Picker) statsOf(key subsetKey, u *member.Upstream) *stats {
-	name := statsKey{node: u.Node, life: u.Life, service: key.service, version: key.version}
+	name := statsKey{node: u.Node, life: u.Life, service: key.service, version: u.Version}
 	s, found := p.stats[name]
 	if !found {
 		s = &stats{}
@@ -248,10 +262,10 @@
 }
 
 // ordered sorts the upstreams of a version by tier and within a tier by a hash that differs from node to node.
-func (p *Picker) ordered(all []*member.Upstream, version string) []*member.Upstream {
+func (p *Picker) ordered(all []*member.Upstream, key subsetKey) []*member.Upstream {
 	var list []*member.Upstream
 	for _, u := range all {
-		if u.Version == version {
+		if key.serves(u) {
 			list = append(list, u)
 		}
 	}
--- a/internal/route/pick_test.go
+++ b/internal/route/pick_test.go
@@ -29,7 +29,9 @@
 	})
 }
 
-func pickCentre(p *Picker) string { return p.pick("shop", "v1", nil).upstream.DataCentre }
+func pickCentre(p *Picker) string {
+	return p.pick(subsetKey{service: "shop", version: "v1"}, nil).upstream.DataCentre
+}
 
 func TestPick(t *testing.T) {
 	now := time.Now()
@@ -43,7 +45,7 @@
 	})
 	t.Run("an unreachable upstream is left and tried again later", func(t *testing.T) {
 		p := newPicker(upstreams("r-1", "r-2"), &now)
-		c := p.pick("shop", "v1", nil)
+		c := p.pick(subsetKey{service: "shop", version: "v1"}, nil)
 		p.note(c, &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_UNREACHABLE}, 0, true)
 		require.Equal(t, "r-2", pickCentre(p))
 		now = now.Add(maxEjection)
@@ -51,20 +53,20 @@
 	})
 	t.Run("the last upstream is used even when it is ejected", func(t *testing.T) {
 		p := newPicker(upstreams("r-1"), &now)
-		c := p.pick("shop", "v1", nil)
+		c := p.pick(subsetKey{service: "shop", version: "v1"}, nil)
 		p.note(c, &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}, 0, true)
-		require.NotNil(t, p.pick("shop", "v1", nil))
+		require.NotNil(t, p.pick(subsetKey{service: "shop", version: "v1"}, nil))
 	})
 	t.Run("a tried upstream is not picked again", func(t *testing.T) {
 		p := newPicker(upstreams("r-1"), &now)
-		c := p.pick("shop", "v1", nil)
-		require.Nil(t, p.pick("shop", "v1", map[*stats]bool{c.stats: true}))
+		c := p.pick(subsetKey{service: "shop", version: "v1"}, nil)
+		require.Nil(t, p.pick(subsetKey{service: "shop", version: "v1"}, map[*stats]bool{c.stats: true}))
 	})
 	t.Run("the subset is bounded", func(t *testing.T) {
 		p := newPicker(upstreams("r-1", "r-1", "r-1", "r-1", "r-1", "r-1"), &now)
 		seen := map[string]bool{}
 		for range 200 {
-			seen[p.pick("shop", "v1", nil).upstream.Node] = true
+			seen[p.pick(subsetKey{service: "shop", version: "v1"}, nil).upstream.Node] = true
 		}
 		require.Len(t, seen, 4)
 	})
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,11 +33,17 @@
 const (
 	maxDepth    = 32
 	maxKeyBytes = 256
+	// answerGrace is the time after a call's deadline in which its upstream's own answer at the deadline may arrive.
+	answerGrace = 100 * time.Millisecond
 )
 
 // Config configures a Proxy.
 type Config struct {
-	Node         string
+	Node string
+	// Service is the service of the upstream beside this node, or empty.
+	Service      string
+	Headers      *wirepb.HeaderNames
+	Budget       BudgetConfig
 	MaxBodyBytes int64
 	Now          func() time.Time
 	State        func() *tree.State
@@ -65,7 +73,10 @@
 
 // New returns a proxy.
 func New(cfg Config) *Proxy {
-	return &Proxy{cfg: cfg, budget: newBudget(), confirms: newConfirms(), prefix: uuid.NewString() + "-"}
+	if cfg.Headers == nil {
+		cfg.Headers = local.DefaultHeaders()
+	}
+	return &Proxy{cfg: cfg, budget: newBudget(cfg.Budget), confirms: newConfirms(), prefix: uuid.NewString() + "-"}
 }
 
 // InFlight returns the number of callers' requests that are being served.
@@ -81,7 +92,7 @@
 		p.refuse(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "starting", Detail: "this node has no configuration yet"})
 		return
 	}
-	route := state.Match(r.URL.Path)
+	route := state.Match(hostOf(r), pathOf(r))
 	if route == nil {
 		p.refuse(w, &RequestError{Status: http.StatusNotFound, Kind: "no_route", Detail: "no route has a prefix of this path"})
 		return
@@ -93,18 +104,42 @@
 	}
 	answer := p.serve(r.Context(), c)
 	p.cfg.Observe(route, answer.GetOutcome(), p.cfg.Now().Sub(started))
-	writeAnswer(w, answer)
+	p.writeAnswer(w, answer, !p.cfg.Now().Before(c.deadline))
 }
 
 func (p *Proxy) refuse(w http.ResponseWriter, failure *RequestError) {
 	p.cfg.Garbage()
+	if failure.Status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter())
+	}
 	writeFailure(w, failure.Status, &wirepb.Failure{Kind: failure.Kind, Message: failure.Detail, NotRun: true})
 }
 
+// hostOf returns the host that a request names, without a port.
+func hostOf(r *http.Request) string {
+	host := r.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// pathOf returns the path as the caller spelt it: decoding could lead to another route.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		return r.URL.EscapedPath()
+	}
+	return path
+}
+
 // call is one request of a caller on its way.
 type call struct {
-	route    *tree.Route
+	route *tree.Route
+	// service is the route's service, or the part of a split route that the lot chose.
+	service  *tree.Service
 	head     *wirepb.CallHead
+	started  time.Time
 	deadline time.Time
 	key      string
 	depth    int
@@ -122,21 +157,59 @@
 	if route.AtMostOnce && (key == "" || len(key) > maxKeyBytes) {
 		return nil, &RequestError{Status: http.StatusBadRequest, Kind: "key_missing", Detail: "this route needs an Idempotency-Key of 1 to 256 bytes"}
 	}
-	timeout := min(route.Timeout, timeLeft(r.Header, route.Timeout))
+	id := r.Header.Get(p.cfg.Headers.GetRequestId())
+	switch {
+	case p.ownsIDs():
+		id = p.prefix + strconv.FormatUint(p.calls.Add(1), 10)
+	case id == "":
+		return nil, &RequestError{Status: http.StatusBadRequest, Kind: "id_missing", Detail: "the request needs a header " + p.cfg.Headers.GetRequestId()}
+	}
+	timeout := min(route.Timeout, timeLeft(r.Header, p.cfg.Headers.GetTimeLeft(), route.Timeout))
 	body, failure := p.readBody(w, r, started.Add(timeout))
 	if failure != nil {
 		return nil, failure
 	}
+	service := drawPart(route)
 	return &call{
-		route: route, deadline: started.Add(timeout), key: key, depth: depth, tried: map[*stats]bool{},
+		route: route, service: service, started: started, deadline: started.Add(timeout), key: key, depth: depth, tried: map[*stats]bool{},
 		head: &wirepb.CallHead{
-			CallId: p.prefix + strconv.FormatUint(p.calls.Add(1), 10), Service: route.Service.Name, Route: route.Name, Class: route.Class,
-			Method: r.Method, Target: []byte(r.URL.RequestURI()), Host: []byte(r.Host),
-			Headers: forwardedHeaders(r.Header, depth), Body: body, Idempotent: route.Idempotent,
+			CallId: id, Service: service.Name, Route: route.Name, Class: route.Class, Priority: route.Priority,
+			Method: r.Method, Target: []byte(targetOf(r)), Host: []byte(r.Host),
+			Headers: p.forwardedHeaders(r.Header, depth), Body: body, Idempotent: route.Idempotent, Origin: p.cfg.Service,
 		},
 	}, nil
 }
 
+// ownsIDs reports whether the nodes name the calls, rather than their callers.
+func (p *Proxy) ownsIDs() bool { return p.cfg.Headers.GetRequestId() == local.HeaderCallID }
+
+// targetOf returns path and query as the caller spelt them.
+func targetOf(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// drawPart returns the service of a call; the parts of a split route take calls in proportion to their weights.
+func drawPart(route *tree.Route) *tree.Service {
+	total := uint32(0)
+	for _, part := range route.Parts {
+		total += part.Weight
+	}
+	if total == 0 {
+		return route.Service
+	}
+	lot := rand.Uint32N(total)
+	for _, part := range route.Parts {
+		if lot < part.Weight {
+			return part.Service
+		}
+		lot -= part.Weight
+	}
+	return route.Service
+}
+
 func readDepth(header http.Header) (int, *RequestError) {
 	text := header.Get(HeaderDepth)
 	if text == "" {
@@ -149,8 +222,8 @@
 	return depth, nil
 }
 
-func timeLeft(header http.Header, fallback time.Duration) time.Duration {
-	millis, err := strconv.ParseInt(header.Get(local.HeaderTimeLeft), 10, 32)
+func timeLeft(header http.Header, name string, fallback time.Duration) time.Duration {
+	millis, err := strconv.ParseInt(header.Get(name), 10, 32)
 	if err != nil || millis < 0 {
 		return fallback
 	}
@@ -175,8 +248,12 @@
 }
 
 // hopHeaders belong to one connection and are not forwarded.
-func hopHeaders(header http.Header) map[string]bool {
+func (p *Proxy) hopHeaders(header http.Header) map[string]bool {
+	names := p.cfg.Headers
 	hop := map[string]bool{
+		http.CanonicalHeaderKey(names.GetTimeLeft()): true, http.CanonicalHeaderKey(names.GetExpectedUpstream()): true,
+		http.CanonicalHeaderKey(names.GetCallerService()): true, http.CanonicalHeaderKey(names.GetRequestId()): true,
+
 		"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
 		"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
 		HeaderDepth: true, local.HeaderTimeLeft: true, local.HeaderCallID: true,
@@ -189,8 +266,8 @@
 	return hop
 }
 
-func forwardedHeaders(header http.Header, depth int) []*wirepb.Header {
-	hop := hopHeaders(header)
+func (p *Proxy) forwardedHeaders(header http.Header, depth int) []*wirepb.Header {
+	hop := p.hopHeaders(header)
 	list := make([]*wirepb.Header, 0, len(header)+1)
 	for name, values := range header {
 		if hop[name] {
@@ -200,12 +277,15 @@
 			list = append(list, &wirepb.Header{Name: name, Value: []byte(v)})
 		}
 	}
+	if !p.ownsIDs() {
+		return list
+	}
 	return append(list, &wirepb.Header{Name: HeaderDepth, Value: []byte(strconv.Itoa(depth + 1))})
 }
 
 // serve runs a call, with its key claimed first on an at-most-once route.
 func (p *Proxy) serve(ctx context.Context, c *call) *wirepb.AnswerHead {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
 	defer cancel()
 	if !c.route.AtMostOnce {
 		return p.run(ctx, c)
@@ -228,4 +308,5 @@
 // setTimeLeft gives an attempt the time that is left of the call.
 func (c *call) setTimeLeft(now time.Time) {
 	c.head.TimeLeft = durationpb.New(c.deadline.Sub(now))
+	c.head.ObjectiveLeft = durationpb.New(c.started.Add(c.route.Objective).Sub(now))
 }
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -222,7 +222,7 @@
 }
 
 func TestBudgetBoundsRetries(t *testing.T) {
-	b := newBudget()
+	b := newBudget(BudgetConfig{})
 	spent := 0
 	for range 1000 {
 		b.earn("shop")
@@ -230,6 +230,6 @@
 			spent++
 		}
 	}
-	require.LessOrEqual(t, float64(spent), 1000*budgetShare+budgetCap)
+	require.LessOrEqual(t, float64(spent), 1000*DefaultRetryRatio+DefaultRetryReserve)
 	require.Positive(t, spent)
 }
--- /dev/null
+++ b/internal/source/doc.go
@@ -0,0 +1,2 @@
+// Package source takes the operator's rows of the platform's table into the order of changes.
+package source
--- /dev/null
+++ b/internal/source/export.go
@@ -0,0 +1,32 @@
+package source
+
+import (
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
+)
+
+// Export returns the rows that tell the operator how the moves that a change touches stand.
+func Export(change *wirepb.Change) ([]*wirepb.Row, error) {
+	var rows []*wirepb.Row
+	for _, p := range change.GetPuts() {
+		path, err := tree.ParsePath(p.GetPath())
+		if err != nil || path.Kind != tree.KindRecord || p.GetDelete() {
+			continue
+		}
+		_, message, err := tree.Decode(p.GetPath(), p.GetValue())
+		if err != nil {
+			return nil, err
+		}
+		record, is := message.(*wirepb.MoveRecord)
+		if !is || record.GetOrder() == 0 {
+			continue
+		}
+		row, err := platform.StatusRow(record)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -20,8 +20,8 @@
 func newBuilder(s *State) *builder {
 	return &builder{
 		next: &State{
-			Revision: s.Revision, count: s.count, Services: maps.Clone(s.Services),
-			teams: maps.Clone(s.teams), prefixes: maps.Clone(s.prefixes),
+			Revision: s.Revision, SourceVersion: s.SourceVersion, Limits: s.Limits, count: s.count, Services: maps.Clone(s.Services),
+			Orders: maps.Clone(s.Orders), teams: maps.Clone(s.teams), prefixes: maps.Clone(s.prefixes),
 		},
 		owned: map[string]bool{}, touched: map[string]bool{},
 	}
@@ -134,13 +134,16 @@
 		delete(b.next.Services, service.Name)
 	}
 	for _, r := range t.routes {
-		delete(b.next.prefixes, r.PathPrefix)
-		known[r.PathPrefix] = r.Team
+		delete(b.next.prefixes, r.place())
+		known[r.place()] = r.Team
 	}
 }
 
 func (b *builder) compileSubtree(team string, known map[string]string) error {
 	t := b.next.teams[team]
+	if team == systemTeam {
+		return b.compileLimits(t)
+	}
 	if len(t.entries) == 0 {
 		delete(b.next.teams, team)
 		delete(b.owned, team)
@@ -159,11 +162,28 @@
 		b.next.Services[service.Name] = service
 	}
 	for _, r := range t.routes {
-		if other, found := b.next.prefixes[r.PathPrefix]; found {
+		if other, found := b.next.prefixes[r.place()]; found {
 			return prefixFailure(r, other)
 		}
-		b.next.prefixes[r.PathPrefix] = r
-		b.extended = b.extended || known[r.PathPrefix] != team
+		b.next.prefixes[r.place()] = r
+		b.extended = b.extended || known[r.place()] != team
+	}
+	return nil
+}
+
+func (b *builder) compileLimits(t *subtree) error {
+	values, err := t.decode()
+	if err != nil {
+		return err
+	}
+	b.next.Limits = Limits{}
+	for _, e := range values {
+		if v, is := e.message.(*wirepb.LimitsSetting); is {
+			b.next.Limits = Limits{
+				HeaderBytes: int(v.GetHeaderBytes()), BodyBytes: int64(v.GetBodyBytes()),
+				HeaderTimeout: v.GetHeaderTimeout().AsDuration(), IdleTimeout: v.GetIdleTimeout().AsDuration(),
+			}
+		}
 	}
 	return nil
 }
@@ -172,7 +192,7 @@
 func (s *State) checkPrefixes() error {
 	for _, r := range s.prefixes {
 		for i := len(r.PathPrefix) - 1; i > 0; i-- {
-			other, found := s.prefixes[r.PathPrefix[:i]]
+			other, found := s.prefixes[r.Host+r.PathPrefix[:i]]
 			if found && other.Team != r.Team && below(other.PathPrefix, r.PathPrefix) {
 				return prefixFailure(r, other)
 			}
--- a/internal/tree/edit.go
+++ b/internal/tree/edit.go
@@ -58,6 +58,9 @@
 	if path.Kind == KindRecord {
 		return false
 	}
+	if path.Kind == KindLimits {
+		return author == Administrator
+	}
 	return author == Administrator || author == path.Team
 }
 
@@ -119,7 +122,9 @@
 		return nil, &ValueError{Path: text, Field: "service", Value: path.Name, Allowed: "a service that exists before its move is declared"}
 	}
 	from := service.Stable
-	if service.Record.GetState() == wirepb.MoveState_MOVE_STATE_WATCHING {
+	if service.Open {
+		from = ""
+	} else if service.Record.GetState() == wirepb.MoveState_MOVE_STATE_WATCHING {
 		from = service.Record.GetTo()
 	}
 	if setting.GetVersion() == from {
@@ -134,7 +139,7 @@
 		DeclaredAt: timestamppb.New(now), StepAt: timestamppb.New(now),
 		Deadline: setting.GetDeadline(), AtDeadline: deadlinePolicy(setting),
 		Watch:     durationpb.New(durationOr(setting.GetWatch(), defaultWatch)),
-		StepCalls: stepCalls(setting),
+		StepCalls: stepCalls(setting), Order: setting.GetOrder(),
 	})
 }
 
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -7,9 +7,15 @@
 
 const (
 	maxPathBytes = 200
-	allowedPaths = "/teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, names of 1 to 40 of a-z, 0-9 and -"
+	allowedPaths = "/system/limits, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, names of 1 to 40 of a-z, 0-9 and -"
 )
 
+// systemTeam owns what belongs to no team; its name is none that a team can have.
+const systemTeam = "system"
+
+// LimitsPath is the path of what callers may send.
+const LimitsPath = "/system/limits"
+
 // Kind is the kind of value that stands at a path.
 type Kind int
 
@@ -20,6 +26,7 @@
 	KindRoute
 	KindMove
 	KindRecord
+	KindLimits
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
@@ -47,11 +54,13 @@
 
 func classify(parts []string) (Path, bool) {
 	switch {
+	case len(parts) == 2 && parts[0] == "system" && parts[1] == "limits":
+		return Path{Kind: KindLimits, Team: systemTeam}, true
 	case len(parts) == 3 && parts[0] == "system" && parts[1] == "moves":
 		return Path{Kind: KindRecord, Name: parts[2]}, true
 	case len(parts) == 3 && parts[0] == "teams" && parts[2] == "access":
 		return Path{Kind: KindAccess, Team: parts[1]}, true
-	case len(parts) != 4 || parts[0] != "teams":
+	case len(parts) != 4 || parts[0] != "teams", parts[1] == systemTeam:
 		return Path{}, false
 	}
 	kinds := map[string]Kind{"services": KindService, "routes": KindRoute, "moves": KindMove}
@@ -61,7 +70,7 @@
 
 func (p Path) named() bool {
 	team := p.Kind == KindRecord || namePattern.MatchString(p.Team)
-	name := p.Kind == KindAccess || namePattern.MatchString(p.Name)
+	name := p.Kind == KindAccess || p.Kind == KindLimits || namePattern.MatchString(p.Name)
 	return team && name
 }
 
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -18,6 +18,8 @@
 	ColdStart time.Duration
 	// Stable is the version that takes the calls that no move takes.
 	Stable string
+	// Open says that no version is declared: every version that upstreams announce takes calls, unless a move says otherwise.
+	Open bool
 	// Record is the newest move of the service, or nil.
 	Record *wirepb.MoveRecord
 }
@@ -39,6 +41,32 @@
 	AtMostOnce  bool
 	Timeout     time.Duration
 	ClaimPolicy wirepb.ClaimPolicy
+	// Host is empty for a route of all hosts.
+	Host string
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration
+	// Attempts is the number of upstreams that one call may be sent to.
+	Attempts int
+	Priority uint32
+	// Parts share the calls of a split route; Service is the first of them.
+	Parts []Part
+}
+
+// Part is one service of a split route.
+type Part struct {
+	Service *Service
+	Weight  uint32
+}
+
+// place is what a call is matched by; no host contains a slash.
+func (r *Route) place() string { return r.Host + r.PathPrefix }
+
+// Limits bound what callers may send; a zero stands for what the node's settings say.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // State is the tree at one revision with what was compiled from it; it is immutable. States share the subtrees in which
@@ -46,6 +74,11 @@
 type State struct {
 	Revision uint64
 	Services map[string]*Service
+	// SourceVersion is the version of the operator's configuration that the state holds, or 0.
+	SourceVersion uint64
+	Limits        Limits
+	// Orders holds the version of the newest order that the state holds, by its row.
+	Orders map[string]uint64
 
 	teams map[string]*subtree
 	// prefixes holds the routes by their path prefix.
@@ -56,7 +89,7 @@
 
 // Empty returns the state of revision 0.
 func Empty() *State {
-	return &State{Services: map[string]*Service{}, teams: map[string]*subtree{}, prefixes: map[string]*Route{}}
+	return &State{Services: map[string]*Service{}, teams: map[string]*subtree{}, prefixes: map[string]*Route{}, Orders: map[string]uint64{}}
 }
 
 // FromSnapshot compiles a whole snapshot; it returns *PathError, *ValueError or *LimitError.
@@ -67,7 +100,10 @@
 			return nil, err
 		}
 	}
-	b.next.Revision = snapshot.GetRevision()
+	b.next.Revision, b.next.SourceVersion = snapshot.GetRevision(), snapshot.GetSourceVersion()
+	for _, o := range snapshot.GetOrders() {
+		b.next.Orders[o.GetRow()] = o.GetVersion()
+	}
 	return b.next, b.compile()
 }
 
@@ -82,13 +118,21 @@
 			return nil, err
 		}
 		b.next.Revision = c.GetRevision()
+		b.next.SourceVersion = max(b.next.SourceVersion, c.GetSourceVersion())
+		if o := c.GetOrder(); o != nil {
+			b.next.Orders[o.GetRow()] = max(b.next.Orders[o.GetRow()], o.GetVersion())
+		}
 	}
 	return b.next, nil
 }
 
 // Snapshot returns the whole tree, ordered by path.
 func (s *State) Snapshot() *wirepb.Snapshot {
-	return &wirepb.Snapshot{Revision: s.Revision, Entries: s.List("/")}
+	snapshot := &wirepb.Snapshot{Revision: s.Revision, SourceVersion: s.SourceVersion, Entries: s.List("/")}
+	for row, version := range s.Orders {
+		snapshot.Orders = append(snapshot.Orders, &wirepb.OrderMark{Row: row, Version: version})
+	}
+	return snapshot
 }
 
 // Entry returns one path, or nil.
@@ -128,13 +172,21 @@
 	return list
 }
 
-// Match returns the route with the longest prefix of a path, or nil; its time grows with the path, not with the routes.
-func (s *State) Match(path string) *Route {
+// Match returns the route of a host with the longest prefix of a path, then that of all hosts, or nil; its time grows
+// with the path, not with the routes.
+func (s *State) Match(host, path string) *Route {
+	if r := s.match(host, path); r != nil || host == "" {
+		return r
+	}
+	return s.match("", path)
+}
+
+func (s *State) match(host, path string) *Route {
 	for i := len(path); i > 0; i-- {
 		if i < len(path) && path[i] != '/' && path[i-1] != '/' {
 			continue
 		}
-		if r, found := s.prefixes[path[:i]]; found {
+		if r, found := s.prefixes[host+path[:i]]; found {
 			return r
 		}
 	}
--- a/internal/tree/subtree.go
+++ b/internal/tree/subtree.go
@@ -8,6 +8,12 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
+const (
+	defaultAttempts = 4
+	// lowestPriority is the priority of the class that is shed first.
+	lowestPriority = uint32(wirepb.Class_CLASS_CRITICAL - wirepb.Class_CLASS_BROWSE)
+)
+
 // subtree is what one team declared, with the records of its moves; it is immutable once compiled.
 type subtree struct {
 	entries  map[string]*wirepb.Entry
@@ -63,7 +69,7 @@
 			t.tokens = v.GetTokenSha256()
 		case *wirepb.ServiceSetting:
 			service := &Service{
-				Name: e.path.Name, Team: e.path.Team, Stable: v.GetVersion(),
+				Name: e.path.Name, Team: e.path.Team, Stable: v.GetVersion(), Open: v.GetVersion() == "",
 				ColdStart: durationOr(v.GetColdStart(), undeclaredColdStart),
 			}
 			services[service.Name] = service
@@ -90,34 +96,72 @@
 func (t *subtree) compileRoutes(team string, values []value, services map[string]*Service) error {
 	t.routes = nil
 	for _, e := range values {
-		name := e.path.Name
+		names := []string{e.path.Name}
 		switch v := e.message.(type) {
 		case *wirepb.RouteSetting:
-			name = v.GetService()
-			t.routes = append(t.routes, newRoute(e.path, v, services[name]))
+			names = servicesOf(v)
+			t.routes = append(t.routes, newRoute(e.path, v, services))
 		case *wirepb.MoveSetting, *wirepb.MoveRecord:
 		default:
 			continue
 		}
-		if services[name] == nil {
-			return &ValueError{
-				Path: e.text, Field: "service", Value: name,
-				Allowed: "a service of team " + team + ": set /teams/" + team + "/services/" + name + " first or in the same change",
+		for _, name := range names {
+			if services[name] == nil {
+				return &ValueError{
+					Path: e.text, Field: "service", Value: name,
+					Allowed: "a service of team " + team + ": set /teams/" + team + "/services/" + name + " first or in the same change",
+				}
 			}
 		}
 	}
 	return nil
 }
 
-func newRoute(path Path, setting *wirepb.RouteSetting, service *Service) *Route {
-	class := setting.GetClass()
-	if class == wirepb.Class_CLASS_UNSPECIFIED {
-		class = wirepb.Class_CLASS_NORMAL
+func servicesOf(setting *wirepb.RouteSetting) []string {
+	if len(setting.GetSplit()) == 0 {
+		return []string{setting.GetService()}
 	}
-	return &Route{
-		Name: path.Name, Team: path.Team, PathPrefix: setting.GetPathPrefix(), Service: service, Class: class,
+	names := make([]string, 0, len(setting.GetSplit()))
+	for _, p := range setting.GetSplit() {
+		names = append(names, p.GetService())
+	}
+	return names
+}
+
+func newRoute(path Path, setting *wirepb.RouteSetting, services map[string]*Service) *Route {
+	timeout := durationOr(setting.GetTimeout(), defaultTimeout)
+	r := &Route{
+		Name: path.Name, Team: path.Team, PathPrefix: setting.GetPathPrefix(), Class: classOf(setting),
 		Idempotent: setting.GetIdempotent(), AtMostOnce: setting.GetAtMostOnce(),
-		Timeout:     durationOr(setting.GetTimeout(), defaultTimeout),
-		ClaimPolicy: setting.GetClaimPolicy(),
+		Timeout: timeout, ClaimPolicy: setting.GetClaimPolicy(), Host: setting.GetHost(),
+		Objective: durationOr(setting.GetObjective(), timeout), Attempts: int(setting.GetAttempts()),
+		Priority: priorityOf(setting), Service: services[servicesOf(setting)[0]],
+	}
+	if r.Attempts == 0 {
+		r.Attempts = defaultAttempts
+	}
+	for _, p := range setting.GetSplit() {
+		r.Parts = append(r.Parts, Part{Service: services[p.GetService()], Weight: p.GetWeight()})
+	}
+	return r
+}
+
+// classOf returns the class that a route declares, or the one of its priority.
+func classOf(setting *wirepb.RouteSetting) wirepb.Class {
+	switch {
+	case setting.GetClass() != wirepb.Class_CLASS_UNSPECIFIED:
+		return setting.GetClass()
+	case setting.Priority == nil:
+		return wirepb.Class_CLASS_NORMAL
+	default:
+		return max(wirepb.Class_CLASS_CRITICAL-wirepb.Class(min(setting.GetPriority(), lowestPriority)), wirepb.Class_CLASS_BROWSE)
+	}
+}
+
+// priorityOf returns the declared priority, or the one of the class.
+func priorityOf(setting *wirepb.RouteSetting) uint32 {
+	if setting.Priority != nil {
+		return setting.GetPriority()
 	}
+	return uint32(wirepb.Class_CLASS_CRITICAL - classOf(setting))
 }
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -95,7 +95,7 @@
 			}
 			_, err := s.Change(tt.author, []*wirepb.Edit{good, tt.edit}, now)
 			require.ErrorAs(t, err, tt.want)
-			require.Nil(t, s.Match("/good"), "a part of a refused change is in force")
+			require.Nil(t, s.Match("", "/good"), "a part of a refused change is in force")
 		})
 	}
 	t.Run("too many edits", func(t *testing.T) {
@@ -107,9 +107,9 @@
 func TestLongestPrefixWins(t *testing.T) {
 	s := accept(t, shopState(t), "shop", set("/teams/shop/routes/detail", `{"path_prefix": "/shop/detail", "service": "shop"}`))
 	for path, want := range map[string]string{"/shop": "browse", "/shop/x": "browse", "/shop/detail/7": "detail", "/shop/details": "browse"} {
-		require.Equal(t, want, s.Match(path).Name, path)
+		require.Equal(t, want, s.Match("", path).Name, path)
 	}
-	require.Nil(t, s.Match("/shopping"))
+	require.Nil(t, s.Match("", "/shopping"))
 }
 
 func TestMatchFindsTheLongestOfAllPrefixes(t *testing.T) {
@@ -128,7 +128,7 @@
 			}
 		}
 		got := ""
-		if match := s.Match(path); match != nil {
+		if match := s.Match("", path); match != nil {
 			got = match.PathPrefix
 		}
 		require.Equal(r, want, got, path)
@@ -143,7 +143,7 @@
 		s.prefixes[prefix] = &Route{PathPrefix: prefix}
 	}
 	for b.Loop() {
-		s.Match("/s4199/r1/dials/52")
+		s.Match("", "/s4199/r1/dials/52")
 	}
 }
 
@@ -203,7 +203,7 @@
 	again, err := FromSnapshot(s.Snapshot())
 	require.NoError(t, err)
 	require.Equal(t, protojson.Format(s.Snapshot()), protojson.Format(again.Snapshot()))
-	require.Equal(t, s.Match("/shop/x").Name, again.Match("/shop/x").Name)
+	require.Equal(t, s.Match("", "/shop/x").Name, again.Match("", "/shop/x").Name)
 }
 
 // Whatever operators try in whatever order, every accepted state is closed under reference.
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -30,10 +30,14 @@
 	undeclaredColdStart = -1
 	defaultWatch        = 30 * time.Second
 	defaultStepCalls    = 20
+	maxAttempts         = 16
+	maxParts            = 16
+	maxIdle             = time.Hour
 )
 
 var (
 	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	hostPattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,252}$`)
 	prefixPattern  = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,127}$`)
 )
 
@@ -67,6 +71,8 @@
 		return &wirepb.RouteSetting{}
 	case KindMove:
 		return &wirepb.MoveSetting{}
+	case KindLimits:
+		return &wirepb.LimitsSetting{}
 	default:
 		return &wirepb.MoveRecord{}
 	}
@@ -84,6 +90,8 @@
 		return checkMove(m)
 	case *wirepb.MoveRecord:
 		return checkRecord(m)
+	case *wirepb.LimitsSetting:
+		return checkLimits(m)
 	default:
 		return nil
 	}
@@ -103,7 +111,7 @@
 }
 
 func checkService(m *wirepb.ServiceSetting) *ValueError {
-	if failure := checkVersion(m.GetVersion()); failure != nil {
+	if failure := checkVersion(m.GetVersion()); failure != nil && m.GetVersion() != "" {
 		return failure
 	}
 	return checkDuration("cold_start", m.GetColdStart(), 0, maxColdStart)
@@ -113,6 +121,12 @@
 	switch {
 	case !prefixPattern.MatchString(m.GetPathPrefix()):
 		return &ValueError{Field: "path_prefix", Value: shorten(m.GetPathPrefix()), Allowed: "a path of at most 128 characters that starts with /"}
+	case m.GetHost() != "" && !hostPattern.MatchString(m.GetHost()):
+		return &ValueError{Field: "host", Value: shorten(m.GetHost()), Allowed: "a host name in lower case, without a port"}
+	case m.GetAttempts() > maxAttempts:
+		return &ValueError{Field: "attempts", Value: strconv.FormatUint(uint64(m.GetAttempts()), 10), Allowed: "0 to 16"}
+	case len(m.GetSplit()) > 0:
+		return checkSplit(m)
 	case !namePattern.MatchString(m.GetService()):
 		return &ValueError{Field: "service", Value: shorten(m.GetService()), Allowed: "the name of a service"}
 	case wirepb.Class_name[int32(m.GetClass())] == "":
@@ -122,8 +136,36 @@
 	case wirepb.ClaimPolicy_name[int32(m.GetClaimPolicy())] == "":
 		return &ValueError{Field: "claim_policy", Value: m.GetClaimPolicy().String(), Allowed: "CLAIM_POLICY_REFUSE or CLAIM_POLICY_RUN"}
 	default:
-		return checkDuration("timeout", m.GetTimeout(), minTimeout, maxTimeout)
+		return checkTimes(m)
+	}
+}
+
+func checkTimes(m *wirepb.RouteSetting) *ValueError {
+	if failure := checkDuration("objective", m.GetObjective(), 0, maxTimeout); failure != nil {
+		return failure
+	}
+	return checkDuration("timeout", m.GetTimeout(), minTimeout, maxTimeout)
+}
+
+func checkSplit(m *wirepb.RouteSetting) *ValueError {
+	sum := uint64(0)
+	for _, p := range m.GetSplit() {
+		if !namePattern.MatchString(p.GetService()) {
+			return &ValueError{Field: "split", Value: shorten(p.GetService()), Allowed: "names of services"}
+		}
+		sum += uint64(p.GetWeight())
+	}
+	if sum == 0 || len(m.GetSplit()) > maxParts || m.GetService() != "" {
+		return &ValueError{Field: "split", Value: strconv.Itoa(len(m.GetSplit())) + " parts", Allowed: "1 to 16 parts, one of them with a weight, and no service besides"}
+	}
+	return checkTimes(m)
+}
+
+func checkLimits(m *wirepb.LimitsSetting) *ValueError {
+	if failure := checkDuration("header_timeout", m.GetHeaderTimeout(), minTimeout, maxTimeout); failure != nil {
+		return failure
 	}
+	return checkDuration("idle_timeout", m.GetIdleTimeout(), minTimeout, maxIdle)
 }
 
 func checkMove(m *wirepb.MoveSetting) *ValueError {
