--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -172,7 +172,7 @@
 		Processors:       c.number("processors", uint64(s.GetProcessors()), defaultProcessors, 1, 256),
 		ReadyAddress:     c.optionalAddress("ready_address", s.GetReadyAddress()),
 		Headers:          headers(s.GetHeaders()),
-		AnnounceInterval: c.duration("announce_interval", s.GetAnnounceInterval(), local.DefaultAnnounceInterval, minAnnounce, maxAnnounce),
+		AnnounceInterval: c.span("announce_interval", s.GetAnnounceInterval(), local.DefaultAnnounceInterval, minAnnounce, maxAnnounce),
 		OperatorRows:     s.GetOperatorRows(),
 		Service:          s.GetService(),
 		RetryRatio:       c.ratio("retry_ratio", s.GetRetryRatio(), route.DefaultRetryRatio),
@@ -204,6 +204,18 @@
 	return c.address(field, value)
 }
 
+// span reads a time that whoever fills the settings in writes with its own choice of unit.
+func (c *checker) span(field, text string, fallback, low, high time.Duration) time.Duration {
+	if text == "" {
+		return fallback
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil || value < low || value > high {
+		c.refuse(field, text, low.String()+" to "+high.String())
+	}
+	return value
+}
+
 func (c *checker) ratio(field string, value, fallback float64) float64 {
 	if value == 0 {
 		return fallback
