--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "encode transaction")
 	}
-	_, err = c.write(ctx, "transaction", call)
+	err = c.write(ctx, "transaction", call)
 	var status *StatusError
 	if errors.As(err, &status) {
 		if committed, known := platform.Committed(status.Status); known {
@@ -175,14 +175,12 @@
 
 // PutObject stores an object; it returns *UnavailableError or *UnknownError.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	_, err := c.write(ctx, "put object", platform.PutObjectCall(name, data))
-	return err
+	return c.write(ctx, "put object", platform.PutObjectCall(name, data))
 }
 
 // DeleteObject removes an object; it returns *UnavailableError or *UnknownError.
 func (c *Client) DeleteObject(ctx context.Context, name string) error {
-	_, err := c.write(ctx, "delete object", platform.DeleteObjectCall(name))
-	return err
+	return c.write(ctx, "delete object", platform.DeleteObjectCall(name))
 }
 
 // Object reads an object; it returns *MissingError or *UnavailableError.
@@ -204,16 +202,16 @@
 	return answer, nil
 }
 
-func (c *Client) write(ctx context.Context, operation string, call platform.Call) ([]byte, error) {
+func (c *Client) write(ctx context.Context, operation string, call platform.Call) error {
 	c.Counters.Writes.Add(1)
-	answer, sent, err := c.do(ctx, call, c.timeout)
+	_, sent, err := c.do(ctx, call, c.timeout)
 	switch {
 	case err == nil:
-		return answer, nil
+		return nil
 	case sent:
-		return nil, &UnknownError{Operation: operation, Cause: err}
+		return &UnknownError{Operation: operation, Cause: err}
 	default:
-		return nil, &UnavailableError{Operation: operation, Cause: err}
+		return &UnavailableError{Operation: operation, Cause: err}
 	}
 }
 
