--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/admit"
@@ -63,6 +64,10 @@
 		result = ResultUnjudged
 	}
 	r.observe(u, head, result, took, age)
+	r.cfg.Logger.Info("upstream answered", zap.String("id", head.GetCallId()), zap.String("upstream", u.id),
+		zap.String("version", u.version), zap.Duration("waited", started.Sub(arrived)), zap.Duration("took", took),
+		zap.Stringer("outcome", answer.GetOutcome()), zap.Uint32("status", answer.GetStatus()),
+		zap.Int("running", u.gate.Running()), zap.String("detail", answer.GetDetail()))
 	answer.CallId = head.GetCallId()
 	answer.LoadPermille = u.gate.LoadPermille()
 	return answer
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -18,6 +18,7 @@
 	"github.com/turmericdale/turmericdale/internal/conf"
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/local"
+	"github.com/turmericdale/turmericdale/internal/logs"
 	"github.com/turmericdale/turmericdale/internal/member"
 	"github.com/turmericdale/turmericdale/internal/meter"
 	"github.com/turmericdale/turmericdale/internal/move"
@@ -30,11 +31,12 @@
 )
 
 // New wires a node from its settings.
-func New(settings *conf.Node, logger *zap.Logger) (*Node, error) {
+func New(settings *conf.Node, logger *zap.Logger, sink *logs.Sink) (*Node, error) {
 	container := dig.New()
 	constructors := []any{
 		func() *conf.Node { return settings },
 		func() *zap.Logger { return logger },
+		func() *logs.Sink { return sink },
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
 		newStore, newLog, newMembers, newPool, newMeter, newMover, newRegistry, newHub,
@@ -163,11 +165,11 @@
 	return claim.New(claim.Config{Store: client, Now: now})
 }
 
-func newProxy(s *conf.Node, now clock, log *chain.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
+func newProxy(s *conf.Node, logger *zap.Logger, now clock, log *chain.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
 	registry *local.Registry, claims *claim.Book, metrics *meter.Meter,
 ) *route.Proxy {
 	return route.New(route.Config{
-		Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
+		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
 		Budget: route.BudgetConfig{Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve)},
 		Picker: picker, Pool: pool, Local: registry, Claims: claims,
 		Observe: metrics.Call, Garbage: func() { metrics.Garbage("caller") }, Retried: metrics.Retried,
@@ -189,6 +191,7 @@
 		importer: in.Importer, claims: in.Claims, proxy: in.Proxy, admin: in.Admin, metrics: in.Metrics,
 	}
 	in.Status.node = n
+	in.Metrics.Counter("log_lines_dropped_total", "Log lines for which there was no room.", nil, func() float64 { return float64(in.Sink.Dropped.Load()) })
 	n.register()
 	return n, n.listen()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/front"
 	"github.com/turmericdale/turmericdale/internal/local"
+	"github.com/turmericdale/turmericdale/internal/logs"
 	"github.com/turmericdale/turmericdale/internal/member"
 	"github.com/turmericdale/turmericdale/internal/meter"
 	"github.com/turmericdale/turmericdale/internal/move"
@@ -47,6 +48,7 @@
 
 	Settings *conf.Node
 	Logger   *zap.Logger
+	Sink     *logs.Sink
 	Now      clock
 	Store    *store.Client
 	Log      *chain.Log
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -126,10 +126,12 @@
 	if chosen.upstream.Node == p.cfg.Node {
 		answer := p.cfg.Local.Call(ctx, c.head)
 		p.cfg.Picker.note(chosen, answer, p.cfg.Now().Sub(started), false)
+		p.logAttempt(c, chosen, answer, p.cfg.Now().Sub(started))
 		return answer
 	}
 	answer, err := p.exchange(ctx, chosen, c.head)
 	p.cfg.Picker.note(chosen, answer, p.cfg.Now().Sub(started), err != nil && ctx.Err() == nil)
+	p.logAttempt(c, chosen, answer, p.cfg.Now().Sub(started))
 	return answer
 }
 
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/claim"
@@ -39,7 +40,9 @@
 
 // Config configures a Proxy.
 type Config struct {
-	Node string
+	// Logger takes a line for each decision on a call; nil means none.
+	Logger *zap.Logger
+	Node   string
 	// Service is the service of the upstream beside this node, or empty.
 	Service      string
 	Headers      *wirepb.HeaderNames
@@ -76,6 +79,9 @@
 	if cfg.Headers == nil {
 		cfg.Headers = local.DefaultHeaders()
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
 	return &Proxy{cfg: cfg, budget: newBudget(cfg.Budget), confirms: newConfirms(), prefix: uuid.NewString() + "-"}
 }
 
@@ -94,6 +100,8 @@
 	}
 	route := state.Match(hostOf(r), pathOf(r))
 	if route == nil {
+		p.cfg.Logger.Info("no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", hostOf(r)),
+			zap.String("path", pathOf(r)), zap.Uint64("revision", state.Revision), zap.Uint64("source_version", state.SourceVersion))
 		p.refuse(w, &RequestError{Status: http.StatusNotFound, Kind: "no_route", Detail: "no route has a prefix of this path"})
 		return
 	}
@@ -104,6 +112,7 @@
 	}
 	answer := p.serve(r.Context(), c)
 	p.cfg.Observe(route, answer.GetOutcome(), p.cfg.Now().Sub(started))
+	p.logAnswer(c, state, answer)
 	p.writeAnswer(w, answer, !p.cfg.Now().Before(c.deadline))
 }
 
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"os"
 	"runtime"
+	"runtime/debug"
 
-	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/logs"
 	"github.com/turmericdale/turmericdale/internal/node"
 	"github.com/turmericdale/turmericdale/pkg/cmd/factory"
 )
@@ -44,13 +45,13 @@
 	if err != nil {
 		return err
 	}
-	logger, err := zap.NewProduction()
-	if err != nil {
-		return errors.Wrap(err, "open log")
-	}
-	defer func() { _ = logger.Sync() }()
+	logger, sink := logs.New(os.Stdout)
+	defer sink.Close()
 	runtime.GOMAXPROCS(settings.Processors)
-	n, err := node.New(settings, logger)
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(settings.MemoryBytes)
+	}
+	n, err := node.New(settings, logger, sink)
 	if err != nil {
 		return err
 	}
