--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	classes       = int(wirepb.Class_CLASS_CRITICAL) + 1
+	ranks         = 2 * (int(wirepb.Class_CLASS_CRITICAL) + 1)
 	serviceWeight = 0.1
 	// spreadFactor covers the spread of service times: with a standard deviation of 0.3 of the mean, nine in ten calls
 	// take less than 1.4 of it.
@@ -34,10 +34,24 @@
 	Now     func() time.Time
 }
 
-// Late is the class of calls whose objective has passed: it comes after all others.
-const Late = wirepb.Class_CLASS_UNSPECIFIED
+// Ask is what a call asks of a gate.
+type Ask struct {
+	Class wirepb.Class
+	// Late says that the objective has passed; the call comes after those of its class that can meet theirs.
+	Late bool
+	// Until is the time up to which the answer is worth waiting for, or zero for the call's deadline.
+	Until time.Time
+}
 
-// Gate admits calls to the slots of one upstream, the highest class first and within a class in order of arrival.
+// rank orders the queues: by class, and within a class those first that can meet their objective.
+func (a Ask) rank() int {
+	if a.Late {
+		return 2 * int(a.Class)
+	}
+	return 2*int(a.Class) + 1
+}
+
+// Gate admits calls to the slots of one upstream, the highest rank first and within a rank in order of arrival.
 type Gate struct {
 	cfg Config
 
@@ -45,10 +59,10 @@
 	running int
 	waiting int
 	closed  bool
-	queues  [classes]list.List
-	// service is the moving average of the time that a call holds a slot, own the same by class.
+	queues  [ranks]list.List
+	// service is the moving average of the time that a call holds a slot, own the same by rank.
 	service time.Duration
-	own     [classes]time.Duration
+	own     [ranks]time.Duration
 }
 
 type waiter struct {
@@ -59,10 +73,9 @@
 func NewGate(cfg Config) *Gate { return &Gate{cfg: cfg} }
 
 // Acquire waits for a slot until the context ends; it returns *RefusedError, after which the call has not run. A call
-// that would have to wait beyond its objective, if that is not zero, is refused at once: in an overload a queue of calls
-// that are all late serves nobody well.
-func (g *Gate) Acquire(ctx context.Context, class wirepb.Class, objective time.Time) error {
-	element, refusal := g.enter(ctx, class, objective)
+// that would have to wait too long is refused at once: in an overload a queue of calls that are all late serves nobody well.
+func (g *Gate) Acquire(ctx context.Context, ask Ask) error {
+	element, refusal := g.enter(ctx, ask)
 	if refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
 		return &RefusedError{Refusal: refusal}
 	}
@@ -73,7 +86,7 @@
 	select {
 	case refusal = <-w.admitted:
 	case <-ctx.Done():
-		refusal = g.abandon(class, element, w)
+		refusal = g.abandon(ask, element, w)
 	}
 	if refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
 		return &RefusedError{Refusal: refusal}
@@ -82,7 +95,7 @@
 }
 
 // enter takes a slot at once, joins the queue, or refuses.
-func (g *Gate) enter(ctx context.Context, class wirepb.Class, objective time.Time) (*list.Element, wirepb.Refusal) {
+func (g *Gate) enter(ctx context.Context, ask Ask) (*list.Element, wirepb.Refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
@@ -91,35 +104,39 @@
 	case g.running < g.cfg.Slots && g.waiting == 0:
 		g.running++
 		return nil, wirepb.Refusal_REFUSAL_UNSPECIFIED
-	case !g.worthWaiting(ctx, class, objective):
+	case !g.worthWaiting(ctx, ask):
 		return nil, wirepb.Refusal_REFUSAL_OVERLOADED
-	case g.waiting >= g.cfg.Waiting && !g.shedBelow(class):
+	case g.waiting >= g.cfg.Waiting && !g.shedBelow(ask.rank()):
 		return nil, wirepb.Refusal_REFUSAL_OVERLOADED
 	}
 	g.waiting++
-	return g.queues[class].PushBack(&waiter{admitted: make(chan wirepb.Refusal, 1)}), wirepb.Refusal_REFUSAL_UNSPECIFIED
+	return g.queues[ask.rank()].PushBack(&waiter{admitted: make(chan wirepb.Refusal, 1)}), wirepb.Refusal_REFUSAL_UNSPECIFIED
 }
 
-// worthWaiting reports whether a slot is expected before the deadline of the call, and its answer within the objective.
-func (g *Gate) worthWaiting(ctx context.Context, class wirepb.Class, objective time.Time) bool {
+// worthWaiting reports whether a slot is expected before the deadline of the call, and its answer while it is worth waiting
+// for; a call that is next in line needs no room for the spread of those before it.
+func (g *Gate) worthWaiting(ctx context.Context, ask Ask) bool {
 	if g.service == 0 {
 		return true
 	}
 	ahead := 1
-	for c := int(class); c < classes; c++ {
-		ahead += g.queues[c].Len()
+	for r := ask.rank(); r < ranks; r++ {
+		ahead += g.queues[r].Len()
 	}
-	wait := g.service * time.Duration(ahead) / time.Duration(g.cfg.Slots)
-	admitted := g.cfg.Now().Add(wait)
+	admitted := g.cfg.Now().Add(g.service * time.Duration(ahead) / time.Duration(g.cfg.Slots))
 	if deadline, found := ctx.Deadline(); found && !admitted.Before(deadline) {
 		return false
 	}
-	return objective.IsZero() || admitted.Add(time.Duration(spreadFactor*float64(g.own[class]))).Before(objective)
+	own := g.own[ask.rank()]
+	if ahead > 1 {
+		own = time.Duration(spreadFactor * float64(own))
+	}
+	return ask.Until.IsZero() || admitted.Add(own).Before(ask.Until)
 }
 
-// shedBelow refuses the newest waiter of the lowest class below the given one.
-func (g *Gate) shedBelow(class wirepb.Class) bool {
-	for c := range int(class) {
+// shedBelow refuses the newest waiter of the lowest rank below the given one.
+func (g *Gate) shedBelow(rank int) bool {
+	for c := range rank {
 		if newest := g.queues[c].Back(); newest != nil {
 			g.queues[c].Remove(newest)
 			g.waiting--
@@ -132,7 +149,7 @@
 }
 
 // abandon leaves the queue, unless a slot or a refusal came at the same moment.
-func (g *Gate) abandon(class wirepb.Class, element *list.Element, w *waiter) wirepb.Refusal {
+func (g *Gate) abandon(ask Ask, element *list.Element, w *waiter) wirepb.Refusal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
@@ -142,18 +159,18 @@
 			g.admitNext()
 		}
 	default:
-		g.queues[class].Remove(element)
+		g.queues[ask.rank()].Remove(element)
 		g.waiting--
 	}
 	return wirepb.Refusal_REFUSAL_EXPIRED
 }
 
-// Release gives a slot back after a call of a class held it for a time.
-func (g *Gate) Release(class wirepb.Class, held time.Duration) {
+// Release gives a slot back after a call held it for a time.
+func (g *Gate) Release(ask Ask, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	average(&g.service, held)
-	average(&g.own[class], held)
+	average(&g.own[ask.rank()], held)
 	g.running--
 	g.admitNext()
 }
@@ -168,7 +185,7 @@
 }
 
 func (g *Gate) admitNext() {
-	for c := classes - 1; c >= 0 && g.running < g.cfg.Slots; c-- {
+	for c := ranks - 1; c >= 0 && g.running < g.cfg.Slots; c-- {
 		if oldest := g.queues[c].Front(); oldest != nil {
 			g.queues[c].Remove(oldest)
 			g.waiting--
--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -26,7 +26,7 @@
 // enter starts a call and returns its result once it is admitted or refused.
 func enter(ctx context.Context, g *Gate, class wirepb.Class) <-chan error {
 	result := make(chan error, 1)
-	go func() { result <- g.Acquire(ctx, class, time.Time{}) }()
+	go func() { result <- g.Acquire(ctx, Ask{Class: class}) }()
 	synctest.Wait()
 	return result
 }
@@ -57,10 +57,10 @@
 			g := newGate(4)
 			requireAdmitted(t, enter(t.Context(), g, browse))
 			low, high := enter(t.Context(), g, browse), enter(t.Context(), g, critical)
-			g.Release(normal, time.Millisecond)
+			g.Release(Ask{Class: normal}, time.Millisecond)
 			requireAdmitted(t, high)
 			require.Empty(t, low)
-			g.Release(normal, time.Millisecond)
+			g.Release(Ask{Class: normal}, time.Millisecond)
 			requireAdmitted(t, low)
 		}},
 		{"a browse is shed before a commission is refused", func(t *testing.T) {
@@ -72,7 +72,7 @@
 			requireRefused(t, second, wirepb.Refusal_REFUSAL_OVERLOADED)
 			require.Empty(t, first)
 			requireRefused(t, enter(t.Context(), g, browse), wirepb.Refusal_REFUSAL_OVERLOADED)
-			g.Release(normal, time.Millisecond)
+			g.Release(Ask{Class: normal}, time.Millisecond)
 			requireAdmitted(t, commission)
 		}},
 		{"a call that would expire in the queue is refused at once", func(t *testing.T) {
@@ -80,7 +80,7 @@
 			g := newGate(8)
 			requireAdmitted(t, enter(t.Context(), g, normal))
 			for range 50 {
-				g.Release(normal, time.Second)
+				g.Release(Ask{Class: normal}, time.Second)
 				requireAdmitted(t, enter(t.Context(), g, normal))
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
@@ -96,7 +96,7 @@
 			expired := enter(ctx, g, normal)
 			time.Sleep(time.Second)
 			requireRefused(t, expired, wirepb.Refusal_REFUSAL_EXPIRED)
-			g.Release(normal, time.Millisecond)
+			g.Release(Ask{Class: normal}, time.Millisecond)
 			require.Zero(t, g.Running())
 			require.Zero(t, g.LoadPermille())
 		}},
@@ -134,13 +134,13 @@
 			time.Sleep(time.Second / time.Duration(perSecond))
 			wait.Go(func() {
 				arrived := time.Now()
-				if g.Acquire(t.Context(), normal, arrived.Add(aim)) != nil {
+				if g.Acquire(t.Context(), Ask{Class: normal, Until: arrived.Add(aim)}) != nil {
 					refused.Add(1)
 					require.Equal(t, arrived, time.Now(), "a call waited for its refusal")
 					return
 				}
 				time.Sleep(service)
-				g.Release(normal, service)
+				g.Release(Ask{Class: normal}, service)
 				if time.Since(arrived) <= aim+service {
 					within.Add(1)
 				} else {
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -49,8 +49,8 @@
 	if refusal := r.cfg.Forbid(u.exposure()); refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
 		return notRun(head, refusal)
 	}
-	class, until := standing(head, arrived)
-	if err := u.gate.Acquire(ctx, class, until); err != nil {
+	ask := newAsk(head, arrived)
+	if err := u.gate.Acquire(ctx, ask); err != nil {
 		return refused(head, u, err)
 	}
 	started := r.cfg.Now()
@@ -60,7 +60,7 @@
 	age := u.age(started)
 	answer, result := u.run(ctx, head, r.cfg.MaxBodyBytes)
 	took := r.cfg.Now().Sub(started)
-	u.gate.Release(class, took)
+	u.gate.Release(ask, took)
 	if result == ResultFailed && answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && r.silent(u) {
 		result = ResultUnjudged
 	}
@@ -74,18 +74,18 @@
 	return answer
 }
 
-// standing returns the class of a call in the queue, and the time up to which its answer is worth waiting for, or zero
-// when that is its deadline. A call whose objective has passed comes after those that can still meet theirs.
-func standing(head *wirepb.CallHead, arrived time.Time) (wirepb.Class, time.Time) {
+// newAsk returns what a call asks of the gate: one whose objective has passed is content with part of its time.
+func newAsk(head *wirepb.CallHead, arrived time.Time) admit.Ask {
+	ask := admit.Ask{Class: head.GetClass()}
 	left, whole := head.GetObjectiveLeft(), head.GetTimeLeft()
 	switch {
 	case left == nil || whole == nil || left.AsDuration() >= whole.AsDuration():
-		return head.GetClass(), time.Time{}
 	case left.AsDuration() <= 0:
-		return admit.Late, arrived.Add(whole.AsDuration() / lateParts)
+		ask.Late, ask.Until = true, arrived.Add(whole.AsDuration()/lateParts)
 	default:
-		return head.GetClass(), arrived.Add(left.AsDuration())
+		ask.Until = arrived.Add(left.AsDuration())
 	}
+	return ask
 }
 
 func notRun(head *wirepb.CallHead, refusal wirepb.Refusal) *wirepb.AnswerHead {
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -203,7 +203,7 @@
 		next.Version = "v2"
 		require.NoError(t, f.Announce(next))
 		var refused *admit.RefusedError
-		require.ErrorAs(t, waiting.Acquire(t.Context(), wirepb.Class_CLASS_NORMAL, time.Time{}), &refused)
+		require.ErrorAs(t, waiting.Acquire(t.Context(), admit.Ask{Class: wirepb.Class_CLASS_NORMAL}), &refused)
 		require.NoError(t, f.Announce(f.announcement()))
 	})
 	t.Run("a late announcement does not bring back one that left", func(t *testing.T) {
