--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -173,13 +173,14 @@
 }
 
 func newProxy(s *conf.Node, logger *zap.Logger, now clock, log *chain.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
-	registry *local.Registry, claims *claim.Book, metrics *meter.Meter,
+	registry *local.Registry, claims *claim.Book, metrics *meter.Meter, status *statusSource,
 ) *route.Proxy {
 	return route.New(route.Config{
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
 		Budget: route.BudgetConfig{Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve)},
 		Picker: picker, Pool: pool, Local: registry, Claims: claims,
 		Observe: metrics.Call, Garbage: func() { metrics.Garbage("caller") }, Retried: metrics.Retried,
+		Stopping: func() bool { return status.node.stopping.Load() },
 	})
 }
 
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -34,7 +34,7 @@
 		chosen := p.choose(c, toNew)
 		if chosen != nil {
 			c.tried[chosen.stats] = true
-			answer = p.attempt(ctx, c, chosen, toNew)
+			answer = p.attempt(ctx, c, chosen, toNew && arrived+1 < c.route.Attempts)
 		}
 		if toNew && c.route.Idempotent && answer.GetStatus() >= http.StatusInternalServerError {
 			p.confirms.begin(c.route, p.cfg.Now())
@@ -118,10 +118,10 @@
 }
 
 // attempt sends the call to one upstream.
-func (p *Proxy) attempt(ctx context.Context, c *call, chosen *choice, toNew bool) *wirepb.AnswerHead {
+func (p *Proxy) attempt(ctx context.Context, c *call, chosen *choice, onTrial bool) *wirepb.AnswerHead {
 	started := p.cfg.Now()
 	c.setTimeLeft(started)
-	ctx, cancel := context.WithTimeout(ctx, p.tryTime(c, toNew, c.deadline.Sub(started)))
+	ctx, cancel := context.WithTimeout(ctx, p.tryTime(c, onTrial, c.deadline.Sub(started)))
 	defer cancel()
 	if chosen.upstream.Node == p.cfg.Node {
 		answer := p.cfg.Local.Call(ctx, c.head)
@@ -135,12 +135,13 @@
 	return answer
 }
 
-// tryTime returns how long a try may last; a version on trial gets little more than the earlier one takes.
-func (p *Proxy) tryTime(c *call, toNew bool, left time.Duration) time.Duration {
+// tryTime returns how long a try may last; a version on trial gets little more than the earlier one takes, as long as
+// another try can follow.
+func (p *Proxy) tryTime(c *call, onTrial bool, left time.Duration) time.Duration {
 	switch {
-	case !c.route.Idempotent:
+	case !c.route.Idempotent, p.cfg.Stopping():
 		return left + answerGrace
-	case toNew:
+	case onTrial:
 		usual := p.cfg.Picker.usualTime(c.service.Name, p.cfg.Verdicts.Current(c.service), c.service.Record.GetTo())
 		return min(max(trialFactor*usual, minTrialTime), left/2)
 	default:
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -59,6 +59,8 @@
 	Observe func(route *tree.Route, outcome wirepb.Outcome, took time.Duration)
 	// Garbage is called for each request that is refused for its form.
 	Garbage func()
+	// Stopping reports whether the node stops: calls that run are then left to end by themselves.
+	Stopping func() bool
 	// Retried is called for each call that is sent again.
 	Retried func()
 }
@@ -83,6 +85,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	if cfg.Stopping == nil {
+		cfg.Stopping = func() bool { return false }
+	}
 	return &Proxy{cfg: cfg, budget: newBudget(cfg.Budget), confirms: newConfirms(), waited: newWaited(), prefix: uuid.NewString() + "-"}
 }
 
