--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -51,6 +51,12 @@
 			return
 		}
 		if !c.begin() {
+			c.mu.Lock()
+			idle := c.pending == 0
+			c.mu.Unlock()
+			if idle {
+				return
+			}
 			break
 		}
 		c.room <- struct{}{}
@@ -165,7 +171,8 @@
 func (c *conn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.final {
+	if c.final || c.server.finishing.Load() {
+		c.final = true
 		return false
 	}
 	c.pending++
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -44,6 +44,8 @@
 type Server struct {
 	cfg     Config
 	closing atomic.Bool
+	// finishing says that no further request is taken.
+	finishing atomic.Bool
 	wait    sync.WaitGroup
 
 	mu    sync.Mutex
@@ -94,8 +96,10 @@
 // Close makes every connection end after the answers to the requests that were read; idle ones end after a time.
 func (s *Server) Close() { s.closing.Store(true) }
 
-// CloseIdle ends the connections on which no request is under way.
-func (s *Server) CloseIdle() {
+// Finish takes no further request: connections end after the answers that are under way, idle ones at once.
+func (s *Server) Finish() {
+	s.finishing.Store(true)
+	s.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -39,13 +39,13 @@
 	n.registry.Stop()
 	n.hub.Leave(context.Background())
 	_ = n.callers.Close()
+	n.front.Finish()
 	idleSince := n.now()
 	for n.now().Sub(started) < n.settings.StopTimeout {
 		if n.running() > 0 {
 			idleSince = n.now()
 		}
 		if n.now().Sub(idleSince) >= quietTime {
-			n.front.CloseIdle()
 			return nil
 		}
 		time.Sleep(drainPoll)
