--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,141 @@
+package store
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/turmericdale/turmericdale/internal/emul"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+func newClient(t *testing.T, handler http.Handler) *Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	c := New(Config{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Timeout: time.Second})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func put(keys ...string) *wirepb.Transaction {
+	transaction := &wirepb.Transaction{}
+	for _, k := range keys {
+		transaction.Puts = append(transaction.Puts, &wirepb.Row{Key: k, Value: []byte(k)})
+	}
+	return transaction
+}
+
+func TestRangeReadsAllPages(t *testing.T) {
+	c := newClient(t, emul.NewPlatform(emul.PlatformConfig{}).Handler())
+	for first := 0; first < 1200; first += 100 {
+		var keys []string
+		for i := range 100 {
+			keys = append(keys, fmt.Sprintf("log/%04d", first+i))
+		}
+		committed, err := c.Transact(t.Context(), put(keys...))
+		require.NoError(t, err)
+		require.True(t, committed)
+	}
+	_, err := c.Transact(t.Context(), put("lo", "log", "loh", "other"))
+	require.NoError(t, err)
+	tests := []struct {
+		after string
+		limit int
+		count int
+		first string
+	}{
+		{"", 5000, 1200, "log/0000"},
+		{"", 501, 501, "log/0000"},
+		{"log/0099", 500, 500, "log/0100"},
+		{"log/1198", 500, 1, "log/1199"},
+		{"log/1199", 500, 0, ""},
+	}
+	for _, tt := range tests {
+		rows, err := c.Range(t.Context(), "log/", tt.after, tt.limit)
+		require.NoError(t, err)
+		require.Len(t, rows, tt.count)
+		if tt.count > 0 {
+			require.Equal(t, tt.first, rows[0].GetKey())
+		}
+	}
+	row, err := c.Row(t.Context(), "lo")
+	require.NoError(t, err)
+	require.Equal(t, []byte("lo"), row.GetValue())
+	row, err = c.Row(t.Context(), "l")
+	require.NoError(t, err)
+	require.Nil(t, row)
+}
+
+func TestConditions(t *testing.T) {
+	c := newClient(t, emul.NewPlatform(emul.PlatformConfig{}).Handler())
+	create := put("a")
+	create.Conditions = []*wirepb.Condition{{Key: "a"}}
+	committed, err := c.Transact(t.Context(), create)
+	require.NoError(t, err)
+	require.True(t, committed)
+	committed, err = c.Transact(t.Context(), create)
+	require.NoError(t, err)
+	require.False(t, committed)
+	row, err := c.Row(t.Context(), "a")
+	require.NoError(t, err)
+	remove := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: "a", Version: row.GetVersion()}}, Deletes: []string{"a"}}
+	committed, err = c.Transact(t.Context(), remove)
+	require.NoError(t, err)
+	require.True(t, committed)
+	committed, err = c.Transact(t.Context(), create)
+	require.NoError(t, err)
+	require.True(t, committed, "a row that was removed still counts")
+}
+
+func TestFeed(t *testing.T) {
+	platform := emul.NewPlatform(emul.PlatformConfig{})
+	c := newClient(t, platform.Handler())
+	platform.Put("op", "config", []byte("1"))
+	rows, err := c.Table(t.Context(), "op", "", "", 10)
+	require.NoError(t, err)
+	require.Len(t, rows.Rows, 1)
+	go platform.Put("op", "config", []byte("2"))
+	changed, err := c.Feed(t.Context(), "op", rows.Version, time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, []byte("2"), changed.Rows[0].GetValue())
+	none, err := c.Feed(t.Context(), "op", changed.Version, time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, none.Rows)
+	platform.Put("op", "config", []byte("3"))
+	platform.ForgetHistory()
+	_, err = c.Feed(t.Context(), "op", rows.Version, time.Minute)
+	var dropped *HistoryError
+	require.ErrorAs(t, err, &dropped)
+}
+
+func TestWhatIsKnownOfAWrite(t *testing.T) {
+	var unavailable *UnavailableError
+	var unknown *UnknownError
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		target  any
+	}{
+		{"refused", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, &unavailable},
+		{"beyond the rate", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) }, &unavailable},
+		{"failed", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, &unknown},
+		{"answer cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, &unknown},
+		{"no answer", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}, &unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := newClient(t, tt.handler).Transact(t.Context(), put("a"))
+			require.ErrorAs(t, err, tt.target)
+		})
+	}
+}
