--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -46,7 +46,7 @@
 	closing atomic.Bool
 	// finishing says that no further request is taken.
 	finishing atomic.Bool
-	wait    sync.WaitGroup
+	wait      sync.WaitGroup
 
 	mu    sync.Mutex
 	conns map[*conn]bool
