--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -243,9 +243,11 @@
 	if err != nil || !taken {
 		return
 	}
+	if err := h.readLeases(ctx); err != nil {
+		h.cfg.Logger.Info("relay lease not read back", zap.String("slot", key), zap.Error(err))
+	}
 	h.becomeRelay(true)
 	h.cfg.Logger.Info("relay lease taken", zap.String("slot", key))
-	_ = h.readLeases(ctx)
 }
 
 // renew keeps the lease; a lease that another node took in the meantime ends this node's part as a relay.
--- /dev/null
+++ b/internal/source/import_test.go
@@ -0,0 +1,182 @@
+package source
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/turmericdale/turmericdale/internal/chain"
+	"github.com/turmericdale/turmericdale/internal/emul"
+	"github.com/turmericdale/turmericdale/internal/store"
+	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+const (
+	patience = 10 * time.Second
+	poll     = 5 * time.Millisecond
+)
+
+// fixture is the platform's stand-in with one node that imports.
+type fixture struct {
+	t        *testing.T
+	platform *emul.Platform
+	address  netip.AddrPort
+	log      *chain.Log
+	refused  atomic.Int32
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, platform: emul.NewPlatform(emul.PlatformConfig{Seed: 1})}
+	server := httptest.NewServer(f.platform.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	f.address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return f
+}
+
+// start runs a node's log and importer until the test ends.
+func (f *fixture) start(rank int) *chain.Log {
+	f.t.Helper()
+	client := store.New(store.Config{Address: f.address, Timeout: time.Second})
+	log := chain.New(chain.Config{Store: client, Logger: zap.NewNop(), Now: time.Now, Export: Export})
+	i := New(Config{
+		Logger: zap.NewNop(), Now: time.Now, Store: client, Log: log, Rank: func() int { return rank },
+		Refused: func() { f.refused.Add(1) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go func() { log.Commit(ctx); done <- struct{}{} }()
+	go func() { i.Run(ctx); done <- struct{}{} }()
+	f.t.Cleanup(func() {
+		cancel()
+		<-done
+		<-done
+		client.Close()
+	})
+	return log
+}
+
+func config(version, routes int) string {
+	list := []string{`{"resource_kind":"services","metadata":{"name":"shop"},"specification":{}}`}
+	for i := range routes {
+		list = append(list, fmt.Sprintf(`{"resource_kind":"routes","metadata":{"name":"r-%d"},"specification":{"host":"h%d.example","prefix":"/a%d/","kind":"safe","timeout":"%dms","service":"shop","attempts":2}}`, i, i, version%3, 1000+version))
+	}
+	return fmt.Sprintf(`{"version":%d,"resources":[%s]}`, version, strings.Join(list, ","))
+}
+
+func (f *fixture) await(log *chain.Log, what string, holds func(state *tree.State) bool) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return holds(log.State()) }, patience, poll, what)
+}
+
+func (f *fixture) row(key string) uint64 {
+	f.t.Helper()
+	row := f.platform.Row("op", key)
+	require.NotNil(f.t, row)
+	return row.GetVersion()
+}
+
+func routeOf(state *tree.State, host, path string) string {
+	if r := state.Match(host, path); r != nil {
+		return r.Name
+	}
+	return ""
+}
+
+func TestConfigIsTakenIn(t *testing.T) {
+	f := newFixture(t)
+	log := f.start(0)
+	f.platform.Put("op", "config", []byte(config(1, 3)))
+	f.await(log, "first configuration", func(s *tree.State) bool { return routeOf(s, "h2.example", "/a1/x") == "r-2" })
+	t.Run("routes that are gone are removed", func(t *testing.T) {
+		f.platform.Put("op", "config", []byte(config(4, 2)))
+		f.await(log, "second configuration", func(s *tree.State) bool { return s.SourceVersion == f.row("config") })
+		require.Empty(t, routeOf(log.State(), "h2.example", "/a1/x"))
+		require.Equal(t, "r-1", routeOf(log.State(), "h1.example", "/a1/x"))
+		require.Equal(t, 1004*time.Millisecond, log.State().Match("h1.example", "/a1/x").Timeout)
+	})
+	t.Run("one that cannot be read leaves the last in force", func(t *testing.T) {
+		before := log.State().SourceVersion
+		f.platform.Put("op", "config", []byte(`{"version":5,"resources":[{"resource_kind":"routes"`))
+		require.Eventually(t, func() bool { return f.refused.Load() == 1 }, patience, poll)
+		require.Equal(t, before, log.State().SourceVersion)
+		require.Equal(t, "r-1", routeOf(log.State(), "h1.example", "/a1/x"))
+	})
+	t.Run("after dropped history", func(t *testing.T) {
+		f.platform.ForgetHistory()
+		f.platform.Put("op", "config", []byte(config(6, 1)))
+		f.await(log, "configuration after dropped history", func(s *tree.State) bool { return s.SourceVersion == f.row("config") })
+	})
+	t.Run("large ones, by an object", func(t *testing.T) {
+		f.platform.Put("op", "config", []byte(config(7, 1200)))
+		f.await(log, "large configuration", func(s *tree.State) bool { return routeOf(s, "h1199.example", "/a1/x") == "r-1199" })
+		fresh := chain.New(chain.Config{Store: store.New(store.Config{Address: f.address}), Logger: zap.NewNop(), Now: time.Now})
+		require.NoError(t, fresh.Sync(t.Context()))
+		require.Equal(t, "r-1199", routeOf(fresh.State(), "h1199.example", "/a1/x"))
+	})
+}
+
+// A storm of configurations: the newest one wins, also with two importers and answers that are lost.
+func TestConfigStorm(t *testing.T) {
+	f := newFixture(t)
+	logs := []*chain.Log{f.start(0), f.start(1)}
+	f.platform.SetFaults(emul.PlatformFaults{LoseAnswers: 0.3})
+	for version := range 40 {
+		f.platform.Put("op", "config", []byte(config(version+1, 4)))
+	}
+	for _, log := range logs {
+		f.await(log, "newest configuration", func(s *tree.State) bool { return s.SourceVersion == f.row("config") })
+		require.Equal(t, 1040*time.Millisecond, log.State().Match("h1.example", "/a1/x").Timeout)
+	}
+}
+
+func TestOrdersBecomeMoves(t *testing.T) {
+	f := newFixture(t)
+	log := f.start(0)
+	f.platform.Put("op", "rollout/shop", []byte(`{"service":"shop","to":"v2","duration":"12s"}`))
+	f.platform.Put("op", "config", []byte(config(1, 1)))
+	f.await(log, "the move", func(s *tree.State) bool { return s.Services["shop"] != nil && s.Services["shop"].Record != nil })
+	record := log.State().Services["shop"].Record
+	require.Equal(t, "v2", record.GetTo())
+	require.WithinDuration(t, time.Now().Add(12*time.Second), record.GetDeadline().AsTime(), 3*time.Second)
+	status := func() string {
+		var told map[string]string
+		if row := f.platform.Row("status", "rollout/shop"); row != nil {
+			require.NoError(t, json.Unmarshal(row.GetValue(), &told))
+		}
+		return told["state"]
+	}
+	require.Eventually(t, func() bool { return status() == "running" }, patience, poll)
+	t.Run("the operator is told in the same transaction", func(t *testing.T) {
+		next := &wirepb.MoveRecord{}
+		next.Service, next.Team, next.To, next.Order = "shop", "mesh", "v2", record.GetOrder()
+		next.DeclaredRevision, next.State = record.GetDeclaredRevision(), wirepb.MoveState_MOVE_STATE_DONE
+		put, err := tree.RecordPut(next)
+		require.NoError(t, err)
+		_, err = log.Submit(t.Context(), "done", func(state *tree.State) (*wirepb.Change, error) {
+			return &wirepb.Change{Revision: state.Revision + 1, Puts: []*wirepb.Put{put}}, nil
+		})
+		require.NoError(t, err)
+		require.Equal(t, "completed", status())
+	})
+	t.Run("an order is taken in once", func(t *testing.T) {
+		revision := log.State().Services["shop"].Record.GetDeclaredRevision()
+		f.platform.Put("op", "config", []byte(config(2, 1)))
+		f.await(log, "configuration", func(s *tree.State) bool { return s.SourceVersion == f.row("config") })
+		require.Equal(t, revision, log.State().Services["shop"].Record.GetDeclaredRevision())
+	})
+	t.Run("a new order starts a new move", func(t *testing.T) {
+		f.platform.Put("op", "rollout/shop", []byte(`{"service":"shop","to":"v3","duration":"9s"}`))
+		f.await(log, "second move", func(s *tree.State) bool { return s.Services["shop"].Record.GetTo() == "v3" })
+	})
+}
