Take an upstream that was only silent in again, and none that left before this life of the node

Found by TestSilence, which failed first: an upstream that tells its start was never taken in again after four intervals without an announcement, as after a freeze of its node. Also: a leave that a node hears first, or by id alone, keeps out what the upstream said before and comes late.

--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"regexp"
 	"sort"
@@ -23,7 +24,9 @@
 	// suspectIntervals is how many intervals an upstream may be silent before its time-outs are blamed on its process.
 	suspectIntervals = 2.5
 	// returnTime is how long an upstream that left is not taken in again, lest an announcement that was overtaken does it.
-	returnTime     = time.Second
+	returnTime = time.Second
+	// goneTime outlasts announcements that a cut link held up.
+	goneTime       = time.Minute
 	expireInterval = 250 * time.Millisecond
 	maxUpstreams   = 64
 	maxSlots       = 4096
@@ -96,6 +99,8 @@
 	mu        sync.Mutex
 	stopping  bool
 	upstreams map[netip.AddrPort]*upstream
+	// gone holds when upstreams left that said so without an announcement, by id.
+	gone map[string]time.Time
 }
 
 // New returns an empty registry.
@@ -106,7 +111,7 @@
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
-	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}}
+	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, gone: map[string]time.Time{}}
 }
 
 // Announce takes in the announcement of an upstream; it returns *AnnouncementError.
@@ -153,7 +158,13 @@
 		}
 		return a.GetLeaving()
 	}
-	if a.GetLeaving() || found && !known.succeeded(a, r.cfg.Now()) || !found && len(r.upstreams) >= maxUpstreams {
+	if a.GetLeaving() && !found && a.GetStarted() != nil && len(r.upstreams) < maxUpstreams {
+		// What it said before, and comes late, must not bring it in.
+		r.upstreams[address] = newUpstream(address, a, r.cfg)
+		r.leave(r.upstreams[address], "leaving")
+		return false
+	}
+	if a.GetLeaving() || r.goneBefore(a) || found && !known.succeeded(a, r.cfg.Now()) || !found && len(r.upstreams) >= maxUpstreams {
 		return false
 	}
 	if found {
@@ -173,9 +184,19 @@
 	}
 }
 
+// goneBefore reports whether an announcement was made before its upstream left.
+func (r *Registry) goneBefore(a *wirepb.Announcement) bool {
+	left, found := r.gone[a.GetId()]
+	return found && a.GetId() != "" && (a.GetStarted() == nil || a.GetStarted().AsTime().Before(left))
+}
+
 func (r *Registry) leaveByID(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.gone, func(_ string, left time.Time) bool { return r.cfg.Now().Sub(left) > goneTime })
+	if len(r.gone) < maxUpstreams {
+		r.gone[id] = r.cfg.Now()
+	}
 	for _, u := range r.upstreams {
 		if u.id == id && !u.leaving {
 			r.leave(u, "left")
@@ -188,7 +209,7 @@
 // succeeded reports whether an announcement is of another life of the upstream that left, or of another one in its place.
 func (u *upstream) succeeded(a *wirepb.Announcement, now time.Time) bool {
 	if a.GetStarted() != nil {
-		return !u.startedAt(a) || u.id != a.GetId()
+		return u.silent || !u.startedAt(a) || u.id != a.GetId()
 	}
 	return now.Sub(u.left) >= returnTime
 }
@@ -222,6 +243,7 @@
 	for address, u := range r.upstreams {
 		silence := r.cfg.Now().Sub(u.heard)
 		if !u.leaving && silence > r.silenceLimit() {
+			u.silent = true
 			r.leave(u, "silent")
 			changed = true
 		}
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -31,8 +31,10 @@
 	slots       uint32
 	connections uint32
 	leaving     bool
-	left        time.Time
-	heard       time.Time
+	// silent says that it left because nothing was heard of it.
+	silent bool
+	left   time.Time
+	heard  time.Time
 
 	// fresh says that the upstream had no call before its first announcement here.
 	fresh   bool
