Let an upstream finish its own calls while its node stops, and end ordered moves by their deadline

Change: callers are taken until the upstream is done, 0.6 s at most; the plan of an ordered move leaves room for its watch.

--- a/internal/move/plan.go
+++ b/internal/move/plan.go
@@ -33,6 +33,10 @@
 	declared, deadline := record.GetDeclaredAt().AsTime(), record.GetDeadline().AsTime()
 	available := deadline.Sub(declared)
 	margin := min(max(time.Duration(marginPart*float64(available)), minMargin), maxMargin)
+	if record.GetOrder() != 0 {
+		// Whoever orders a move waits for its end, which comes after the watch.
+		margin += min(record.GetWatch().AsDuration(), available/4)
+	}
 	usable := max(available-margin, 0)
 	plan := Plan{}
 	sum := 0.0
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,9 @@
 	drainPoll = 10 * time.Millisecond
 	// quietTime is how long nothing may have run before the connections close: calls on their way arrive within it.
 	quietTime = 150 * time.Millisecond
+	// ownCallsTime is how long callers are still taken for the sake of the calls that the upstream makes itself: longer
+	// would bring requests that cannot end before the stop.
+	ownCallsTime = 600 * time.Millisecond
 	// lingerTime lets answers and the news of the leave reach the other nodes.
 	lingerTime   = 200 * time.Millisecond
 	closeTimeout = 300 * time.Millisecond
@@ -37,7 +41,13 @@
 	n.front.Close()
 	time.Sleep(n.settings.LeaveTime)
 	n.registry.Stop()
-	n.hub.Leave(context.Background())
+	var leave sync.WaitGroup
+	defer leave.Wait()
+	leave.Go(func() { n.hub.Leave(context.Background()) })
+	// The upstream beside this node makes calls of its own through it while it finishes what it runs.
+	for n.registry.InFlight() > 0 && n.now().Sub(started) < n.settings.LeaveTime+ownCallsTime {
+		time.Sleep(drainPoll)
+	}
 	_ = n.callers.Close()
 	n.front.Finish()
 	idleSince := n.now()
