Blame no version for its dependencies, nor for the little time that a caller had left

Ruled out: a fault of the version (the same share of failures on the old one). Change: a failure during which another service failed at this VM, and a 504 at the end of the time given, are no failures of the version. Test: TestWhatSaysNothingOfTheVersion, two cases of which failed first.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -61,8 +61,13 @@
 	answer, result := u.run(ctx, head, r.cfg.MaxBodyBytes)
 	took := r.cfg.Now().Sub(started)
 	u.gate.Release(ask, took)
-	if result == ResultFailed && answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && r.silent(u) {
+	switch {
+	case result != ResultFailed:
+	case answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && r.silent(u), r.dependencyFailed(u.service, started):
 		result = ResultUnjudged
+	case answer.GetStatus() == http.StatusGatewayTimeout && took+answerGrace >= head.GetTimeLeft().AsDuration():
+		// The upstream ran out of the time that it was given: that says no more than how long it took.
+		result = ResultAbandoned
 	}
 	r.observe(u, head, result, took, age)
 	r.cfg.Logger.Info("upstream answered", zap.String("id", head.GetCallId()), zap.String("upstream", u.id),
@@ -74,6 +79,25 @@
 	return answer
 }
 
+// NoteFailure notes that a call that began at this VM failed: an upstream that made it may fail for it in turn.
+func (r *Registry) NoteFailure(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures[service] = r.cfg.Now()
+}
+
+// dependencyFailed reports whether a call to another service failed at this VM since a time.
+func (r *Registry) dependencyFailed(service string, since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, at := range r.failures {
+		if name != service && !at.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // newAsk returns what a call asks of the gate: one whose objective has passed is content with part of its time.
 func newAsk(head *wirepb.CallHead, arrived time.Time) admit.Ask {
 	ask := admit.Ask{Class: head.GetClass()}
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -214,3 +214,44 @@
 		require.Empty(t, f.Services())
 	})
 }
+
+// A version must not be blamed for what its dependencies did, nor for the little time that its caller had left.
+func TestWhatSaysNothingOfTheVersion(t *testing.T) {
+	failing := func(status int, wait time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			<-time.After(wait)
+			w.WriteHeader(status)
+		}
+	}
+	tests := []struct {
+		name     string
+		handler  http.HandlerFunc
+		left     time.Duration
+		failedBy string
+		result   Result
+		judged   bool
+	}{
+		{"a failure of its own", failing(500, 0), time.Second, "", ResultFailed, true},
+		{"a failure while a call to another service failed", failing(500, 20*time.Millisecond), time.Second, "stock", ResultFailed, false},
+		{"a failure while a call to the same service failed", failing(500, 20*time.Millisecond), time.Second, "shop", ResultFailed, true},
+		{"no time left", failing(504, 30*time.Millisecond), 30 * time.Millisecond, "", ResultAbandoned, true},
+		{"a time-out of its own", failing(504, 0), time.Second, "", ResultFailed, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, head := (*fixture)(nil), newHead()
+			f = newFixture(t, serve(t, func(w http.ResponseWriter, r *http.Request) {
+				if tt.failedBy != "" {
+					f.NoteFailure(tt.failedBy)
+				}
+				tt.handler(w, r)
+			}))
+			head.TimeLeft = durationpb.New(tt.left)
+			f.Call(t.Context(), head)
+			require.Equal(t, tt.judged, len(f.observed) == 1)
+			if tt.judged {
+				require.Equal(t, tt.result, (<-f.observed).Result)
+			}
+		})
+	}
+}
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -101,6 +101,8 @@
 	upstreams map[netip.AddrPort]*upstream
 	// gone holds when upstreams left that said so without an announcement, by id.
 	gone map[string]time.Time
+	// failures holds when a call that began at this VM last failed, by the service that it went to.
+	failures map[string]time.Time
 }
 
 // New returns an empty registry.
@@ -111,7 +113,7 @@
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
-	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, gone: map[string]time.Time{}}
+	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, gone: map[string]time.Time{}, failures: map[string]time.Time{}}
 }
 
 // Announce takes in the announcement of an upstream; it returns *AnnouncementError.
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -118,6 +118,9 @@
 	}
 	answer := p.serve(r.Context(), c)
 	p.cfg.Observe(route, answer.GetOutcome(), p.cfg.Now().Sub(started))
+	if answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED || answer.GetStatus() >= http.StatusInternalServerError {
+		p.cfg.Local.NoteFailure(c.service.Name)
+	}
 	p.logAnswer(c, state, answer)
 	p.writeAnswer(w, answer, c.deadline.Sub(p.cfg.Now()))
 }
