--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -20,7 +20,7 @@
 	// A relay reads the rows of nodes often after its start, when the rest of the data centre may have started with it.
 	earlyRounds    = 6
 	rowsEvery      = 10
-	inviteInterval = 500 * time.Millisecond
+	inviteInterval = 200 * time.Millisecond
 	// invitePause is the time between two invitations of one node, in which it can link to a relay.
 	invitePause   = 2 * time.Second
 	inviteTimeout = 500 * time.Millisecond
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -260,6 +260,7 @@
 	}
 	h.becomeRelay(true)
 	h.cfg.Logger.Info("relay lease taken", zap.String("slot", key))
+	h.readRows(ctx, 0)
 }
 
 // renew keeps the lease; a lease that another node took in the meantime ends this node's part as a relay.
