--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -167,7 +167,7 @@
 	}
 	answer := &wirepb.AnswerHead{}
 	if err := frame.Read(stream.Reader, answer, p.cfg.MaxBodyBytes+frameReserve); err != nil {
-		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, err), err
+		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, endOf(ctx, err)), err
 	}
 	if answer.GetCallId() != head.GetCallId() {
 		err := &CrossedError{Want: head.GetCallId(), Have: answer.GetCallId()}
@@ -182,6 +182,18 @@
 	return answer, nil
 }
 
+// endOf returns why a conversation ended: its own end hides that the caller left or that the time was up.
+func endOf(ctx context.Context, err error) error {
+	switch ctxErr := ctx.Err(); {
+	case errors.Is(ctxErr, context.Canceled):
+		return &LeftError{}
+	case ctxErr != nil:
+		return ctxErr
+	default:
+		return err
+	}
+}
+
 func (p *Proxy) send(stream *peer.Stream, head *wirepb.CallHead) error {
 	return frame.Write(stream, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Call{Call: head}})
 }
--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -20,3 +20,8 @@
 func (e *CrossedError) Error() string {
 	return fmt.Sprintf("answer of call %s in place of %s", e.Have, e.Want)
 }
+
+// LeftError says that the caller left before its answer.
+type LeftError struct{}
+
+func (e *LeftError) Error() string { return "the caller left" }
