Reload settings on SIGHUP or when the file changes, in place of ending

Change: the node looks at its settings at SIGHUP and every 2 s, applies what a running process can change, and keeps the earlier settings when the new ones are not allowed. Test: TestReloadCutsNoRequest, which failed first, and TestReload.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"regexp"
 	"strconv"
 	"time"
@@ -111,6 +112,19 @@
 	LeaveTime        time.Duration
 }
 
+// Equal reports whether two settings are the same.
+func (n *Node) Equal(other *Node) bool { return reflect.DeepEqual(n.comparable(), other.comparable()) }
+
+// comparable returns the settings with the headers in a form that does not depend on how they were decoded.
+func (n *Node) comparable() any {
+	flat := *n
+	flat.Headers = nil
+	return struct {
+		Node    Node
+		Headers string
+	}{flat, n.Headers.String()}
+}
+
 // Load reads and checks a settings file; it returns *FileError or *Error.
 func Load(file string) (*Node, error) {
 	info, err := os.Stat(file)
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"runtime"
-	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
@@ -47,10 +45,10 @@
 	}
 	logger, sink := logs.New(os.Stdout)
 	defer sink.Close()
-	runtime.GOMAXPROCS(settings.Processors)
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(settings.MemoryBytes)
-	}
+	apply(settings)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go newReloader(opts.Settings, settings, logger).run(ctx)
 	n, err := node.New(settings, logger, sink)
 	if err != nil {
 		return err
--- a/test/proof/call_test.go
+++ b/test/proof/call_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -168,3 +170,25 @@
 	}
 	require.Equal(t, 1, winners)
 }
+
+// A reload by SIGHUP cuts no request, whether the settings file changed or cannot be read.
+func TestReloadCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	d := start(t)
+	wait := d.call(3*time.Second, orderLoads...)
+	for range 3 {
+		for _, v := range d.vms {
+			d.signal(v.Node, syscall.SIGHUP)
+		}
+		<-time.After(500 * time.Millisecond)
+	}
+	file := filepath.Join(d.directory, d.vms[0].Node+".jsonc")
+	require.NoError(t, os.WriteFile(file, []byte("{"), 0o600))
+	d.signal(d.vms[0].Node, syscall.SIGHUP)
+	events := wait()
+	d.requireHistory(events)
+	requireNoFailures(t, events)
+	for _, v := range d.vms {
+		require.NotZero(t, d.status(v).GetAppliedRevision(), "a node ended at SIGHUP")
+	}
+}
