--- a/internal/source/import_test.go
+++ b/internal/source/import_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 const (
@@ -65,12 +65,18 @@
 	return log
 }
 
-func config(version, routes int) string {
-	list := []string{`{"resource_kind":"services","metadata":{"name":"shop"},"specification":{}}`}
+// config returns an operator's configuration whose routes differ from version to version.
+func config(t *testing.T, version, routes int) []byte {
+	t.Helper()
+	values := map[string]string{"/teams/mesh/services/shop": "{}"}
 	for i := range routes {
-		list = append(list, fmt.Sprintf(`{"resource_kind":"routes","metadata":{"name":"r-%d"},"specification":{"host":"h%d.example","prefix":"/a%d/","kind":"safe","timeout":"%dms","service":"shop","attempts":2}}`, i, i, version%3, 1000+version))
+		values[fmt.Sprintf("/teams/mesh/routes/r-%d", i)] = fmt.Sprintf(
+			`{"host": "h%d.example", "path_prefix": "/a%d/", "idempotent": true, "timeout": "%.3fs", "service": "shop", "attempts": 2}`,
+			i, version%3, 1+float64(version)/1000)
 	}
-	return fmt.Sprintf(`{"version":%d,"resources":[%s]}`, version, strings.Join(list, ","))
+	row, err := platform.EncodeConfig(uint64(version), values)
+	require.NoError(t, err)
+	return row
 }
 
 func (f *fixture) await(log *chain.Log, what string, holds func(state *tree.State) bool) {
@@ -96,10 +102,10 @@
 func TestConfigIsTakenIn(t *testing.T) {
 	f := newFixture(t)
 	log := f.start(0)
-	f.platform.Put("op", "config", []byte(config(1, 3)))
+	f.platform.Put("op", "config", config(t, 1, 3))
 	f.await(log, "first configuration", func(s *tree.State) bool { return routeOf(s, "h2.example") == "r-2" })
 	t.Run("routes that are gone are removed", func(t *testing.T) {
-		f.platform.Put("op", "config", []byte(config(4, 2)))
+		f.platform.Put("op", "config", config(t, 4, 2))
 		f.await(log, "second configuration", func(s *tree.State) bool { return s.SourceVersion == f.configRow() })
 		require.Empty(t, routeOf(log.State(), "h2.example"))
 		require.Equal(t, "r-1", routeOf(log.State(), "h1.example"))
@@ -107,18 +113,19 @@
 	})
 	t.Run("one that cannot be read leaves the last in force", func(t *testing.T) {
 		before := log.State().SourceVersion
-		f.platform.Put("op", "config", []byte(`{"version":5,"resources":[{"resource_kind":"routes"`))
+		f.platform.Put("op", "config", config(t, 5, 1)[:100])
 		require.Eventually(t, func() bool { return f.refused.Load() == 1 }, patience, poll)
 		require.Equal(t, before, log.State().SourceVersion)
 		require.Equal(t, "r-1", routeOf(log.State(), "h1.example"))
 	})
-	t.Run("after dropped history", func(*testing.T) {
+	t.Run("after dropped history", func(t *testing.T) {
+		t.Helper()
 		f.platform.ForgetHistory()
-		f.platform.Put("op", "config", []byte(config(6, 1)))
+		f.platform.Put("op", "config", config(t, 6, 1))
 		f.await(log, "configuration after dropped history", func(s *tree.State) bool { return s.SourceVersion == f.configRow() })
 	})
 	t.Run("large ones, by an object", func(t *testing.T) {
-		f.platform.Put("op", "config", []byte(config(7, 1200)))
+		f.platform.Put("op", "config", config(t, 7, 1200))
 		f.await(log, "large configuration", func(s *tree.State) bool { return routeOf(s, "h1199.example") == "r-1199" })
 		fresh := chain.New(chain.Config{Store: store.New(store.Config{Address: f.address}), Logger: zap.NewNop(), Now: time.Now})
 		require.NoError(t, fresh.Sync(t.Context()))
@@ -132,7 +139,7 @@
 	logs := []*chain.Log{f.start(0), f.start(1)}
 	f.platform.SetFaults(emul.PlatformFaults{LoseAnswers: 0.3})
 	for version := range 40 {
-		f.platform.Put("op", "config", []byte(config(version+1, 4)))
+		f.platform.Put("op", "config", config(t, version+1, 4))
 	}
 	for _, log := range logs {
 		f.await(log, "newest configuration", func(s *tree.State) bool { return s.SourceVersion == f.configRow() })
@@ -144,7 +151,7 @@
 	f := newFixture(t)
 	log := f.start(0)
 	f.platform.Put("op", "rollout/shop", []byte(`{"service":"shop","to":"v2","duration":"12s"}`))
-	f.platform.Put("op", "config", []byte(config(1, 1)))
+	f.platform.Put("op", "config", config(t, 1, 1))
 	f.await(log, "the move", func(s *tree.State) bool { return s.Services["shop"] != nil && s.Services["shop"].Record != nil })
 	record := log.State().Services["shop"].Record
 	require.Equal(t, "v2", record.GetTo())
@@ -171,11 +178,12 @@
 	})
 	t.Run("an order is taken in once", func(t *testing.T) {
 		revision := log.State().Services["shop"].Record.GetDeclaredRevision()
-		f.platform.Put("op", "config", []byte(config(2, 1)))
+		f.platform.Put("op", "config", config(t, 2, 1))
 		f.await(log, "configuration", func(s *tree.State) bool { return s.SourceVersion == f.configRow() })
 		require.Equal(t, revision, log.State().Services["shop"].Record.GetDeclaredRevision())
 	})
-	t.Run("a new order starts a new move", func(*testing.T) {
+	t.Run("a new order starts a new move", func(t *testing.T) {
+		t.Helper()
 		f.platform.Put("op", "rollout/shop", []byte(`{"service":"shop","to":"v3","duration":"9s"}`))
 		f.await(log, "second move", func(s *tree.State) bool { return s.Services["shop"].Record.GetTo() == "v3" })
 	})
