--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -44,6 +44,7 @@
 	defer wait.Wait()
 	turn := make(chan struct{})
 	close(turn)
+	_ = c.net.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
 	for {
 		request, err := c.read()
 		if err != nil {
@@ -51,10 +52,7 @@
 			return
 		}
 		if !c.begin() {
-			c.mu.Lock()
-			idle := c.pending == 0
-			c.mu.Unlock()
-			if idle {
+			if c.idle() {
 				return
 			}
 			break
@@ -85,10 +83,7 @@
 func (c *conn) finish(ctx context.Context, err error, turn chan struct{}) {
 	var form *FormError
 	if !errors.As(err, &form) {
-		c.mu.Lock()
-		abandoned := c.pending > 0
-		c.mu.Unlock()
-		if abandoned {
+		if !c.idle() {
 			c.server.cfg.Abandoned()
 		}
 		c.cancel()
@@ -144,10 +139,7 @@
 		return &FormError{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"}
 	}
 	if request.Header.Get("Expect") != "" {
-		c.mu.Lock()
-		idle := c.pending == 0
-		c.mu.Unlock()
-		if idle {
+		if c.idle() {
 			_, _ = io.WriteString(c.net, "HTTP/1.1 100 Continue\r\n\r\n")
 		}
 		request.Header.Del("Expect")
@@ -167,6 +159,13 @@
 	return nil
 }
 
+// idle reports whether no request is under way.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0
+}
+
 // begin reports whether a request that was read is taken.
 func (c *conn) begin() bool {
 	c.mu.Lock()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -141,6 +141,14 @@
 	}
 }
 
+func TestSilentCallerIsLeft(t *testing.T) {
+	f := newFixture(t)
+	f.cfg.Limits = func() Limits { return Limits{HeaderBytes: 1 << 10, IdleTimeout: 20 * time.Millisecond} }
+	_, reader := f.dial(t)
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
 func TestClose(t *testing.T) {
 	t.Run("the last answer says that the connection ends, and none is lost", func(t *testing.T) {
 		f := newFixture(t)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -123,18 +123,21 @@
 	c.setTimeLeft(started)
 	ctx, cancel := context.WithTimeout(ctx, p.tryTime(c, onTrial, c.deadline.Sub(started)))
 	defer cancel()
-	if chosen.upstream.Node == p.cfg.Node {
-		answer := p.cfg.Local.Call(ctx, c.head)
-		p.cfg.Picker.note(chosen, answer, p.cfg.Now().Sub(started), false)
-		p.logAttempt(c, chosen, answer, p.cfg.Now().Sub(started))
-		return answer
-	}
-	answer, err := p.exchange(ctx, chosen, c.head)
-	p.cfg.Picker.note(chosen, answer, p.cfg.Now().Sub(started), err != nil && ctx.Err() == nil)
-	p.logAttempt(c, chosen, answer, p.cfg.Now().Sub(started))
+	answer, err := p.offer(ctx, c, chosen)
+	took := p.cfg.Now().Sub(started)
+	p.cfg.Picker.note(chosen, answer, took, err != nil && ctx.Err() == nil)
+	p.logAttempt(c, chosen, answer, took)
 	return answer
 }
 
+// offer gives the call to the upstream beside this node, or to the node beside another one.
+func (p *Proxy) offer(ctx context.Context, c *call, chosen *choice) (*wirepb.AnswerHead, error) {
+	if chosen.upstream.Node == p.cfg.Node {
+		return p.cfg.Local.Call(ctx, c.head), nil
+	}
+	return p.exchange(ctx, chosen, c.head)
+}
+
 // tryTime returns how long a try may last; a version on trial gets little more than the earlier one takes, as long as
 // another try can follow.
 func (p *Proxy) tryTime(c *call, onTrial bool, left time.Duration) time.Duration {
