--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -27,6 +27,12 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithin(t, patience)
+}
+
+// newFixtureWithin returns a server that ends connections that are idle for a time.
+func newFixtureWithin(t *testing.T, idle time.Duration) *fixture {
 	t.Helper()
 	f := &fixture{
 		hold: make(chan struct{}), started: make(chan string, 64), ended: make(chan string, 64), refused: make(chan struct{}, 64),
@@ -34,7 +40,7 @@
 	f.Server = New(Config{
 		Handler: http.HandlerFunc(f.handle), Refused: func() { f.refused <- struct{}{} },
 		Limits: func() Limits {
-			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: patience, IdleTimeout: patience}
+			return Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, HeaderTimeout: patience, IdleTimeout: idle}
 		},
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -142,8 +148,7 @@
 }
 
 func TestSilentCallerIsLeft(t *testing.T) {
-	f := newFixture(t)
-	f.cfg.Limits = func() Limits { return Limits{HeaderBytes: 1 << 10, IdleTimeout: 20 * time.Millisecond} }
+	f := newFixtureWithin(t, 20*time.Millisecond)
 	_, reader := f.dial(t)
 	_, err := reader.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
