Deliver the answers that wait behind a call that a stop breaks off

Ruled out: a call cut while its server worked (its run had ended). Change: the calls that run are ended first, their answers and those behind them are written, then the connections close. Test: TestAbortDeliversTheAnswersBehind; with the connections closed at once, as before, it fails.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -18,8 +18,11 @@
 	server *Server
 	net    net.Conn
 	cancel context.CancelFunc
-	limit  *io.LimitedReader
-	reader *bufio.Reader
+	// requests is the context of the requests, abort ends it.
+	requests context.Context
+	abort    context.CancelFunc
+	limit    *io.LimitedReader
+	reader   *bufio.Reader
 
 	mu sync.Mutex
 	// pending is the number of requests that were read and not yet answered.
@@ -181,7 +184,7 @@
 // answer runs a request and writes its answer in its turn.
 func (c *conn) answer(ctx context.Context, request *http.Request, turn <-chan struct{}) {
 	w := &reply{header: http.Header{}}
-	c.server.cfg.Handler.ServeHTTP(w, request.WithContext(ctx))
+	c.server.cfg.Handler.ServeHTTP(w, request.WithContext(c.requests))
 	select {
 	case <-turn:
 	case <-ctx.Done():
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -83,7 +83,10 @@
 func (s *Server) serve(ctx context.Context, accepted net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	requests, abort := context.WithCancel(ctx)
+	defer abort()
 	c := newConn(s, accepted, cancel)
+	c.requests, c.abort = requests, abort
 	s.mu.Lock()
 	s.conns[c] = true
 	s.mu.Unlock()
@@ -107,6 +110,16 @@
 	}
 }
 
+// Abort ends the requests that run: they are answered with what their handlers know then, and the answers that wait
+// behind them are delivered.
+func (s *Server) Abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.abort()
+	}
+}
+
 // Open returns the number of open connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -147,6 +147,19 @@
 	}
 }
 
+// An answer that is ready must not be lost with the request before it, which a stop breaks off.
+func TestAbortDeliversTheAnswersBehind(t *testing.T) {
+	f := newFixture(t)
+	conn, reader := f.dial(t)
+	send(t, conn, get("/slow")+get("/quick"))
+	require.ElementsMatch(t, []string{"/slow", "/quick"}, []string{<-f.started, <-f.started})
+	f.Finish()
+	f.Abort()
+	require.Equal(t, "/slow", <-f.ended)
+	requireAnswer(t, reader, http.StatusOK, "")
+	requireAnswer(t, reader, http.StatusOK, "/quick")
+}
+
 func TestSilentCallerIsLeft(t *testing.T) {
 	f := newFixtureWithin(t, 20*time.Millisecond)
 	_, reader := f.dial(t)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -17,6 +17,8 @@
 	// ownCallsTime is how long callers are still taken for the sake of the calls that the upstream makes itself: longer
 	// would bring requests that cannot end before the stop.
 	ownCallsTime = 600 * time.Millisecond
+	// abortTime is how long the answers of calls that were broken off, and those behind them, may take to be written.
+	abortTime = 200 * time.Millisecond
 	// lingerTime lets answers and the news of the leave reach the other nodes.
 	lingerTime   = 200 * time.Millisecond
 	closeTimeout = 300 * time.Millisecond
@@ -60,10 +62,15 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	if running := n.running(); running > 0 {
-		return &CutError{Calls: running, Wait: n.settings.StopTimeout}
+	running := n.running()
+	if running == 0 {
+		return nil
 	}
-	return nil
+	n.front.Abort()
+	for aborted := n.now(); n.front.Open() > 0 && n.now().Sub(aborted) < abortTime; {
+		time.Sleep(drainPoll)
+	}
+	return &CutError{Calls: running, Wait: n.settings.StopTimeout}
 }
 
 func (n *Node) running() int { return n.proxy.InFlight() + n.registry.InFlight() }
