Refuse late requests at a planned stop rather than close their connections

Cause: at the end of the leave time a node that stops closed all connections without a request, also those that a caller had just opened and had not used yet. Ruled out: kept connections, for which net/http sends a GET again by itself; their callers are told with the last answer. Change: connections stay open until the process ends; a request that comes late is answered at once as not run, with Retry-After, as the last one of its connection.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -54,7 +54,8 @@
 			c.finish(ctx, err, turn)
 			return
 		}
-		if !c.begin() {
+		handler := c.begin()
+		if handler == nil {
 			if c.idle() {
 				return
 			}
@@ -65,10 +66,10 @@
 		turn = next
 		wait.Go(func() {
 			defer func() { <-c.room }()
-			c.answer(ctx, request, previous)
+			c.answer(ctx, handler, request, previous)
 			close(next)
 		})
-		if request.Close {
+		if request.Close || c.ends() {
 			break
 		}
 	}
@@ -169,22 +170,32 @@
 	return c.pending == 0
 }
 
-// begin reports whether a request that was read is taken.
-func (c *conn) begin() bool {
+// begin returns the handler of a request that was read, or nil when the connection takes no further one.
+func (c *conn) begin() http.Handler {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.final || c.server.finishing.Load() {
-		c.final = true
-		return false
+	if c.final {
+		return nil
 	}
 	c.pending++
-	return true
+	if c.server.finishing.Load() {
+		c.final = true
+		return c.server.cfg.Refuse
+	}
+	return c.server.cfg.Handler
+}
+
+// ends reports whether no further request is taken.
+func (c *conn) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.final
 }
 
 // answer runs a request and writes its answer in its turn.
-func (c *conn) answer(ctx context.Context, request *http.Request, turn <-chan struct{}) {
+func (c *conn) answer(ctx context.Context, handler http.Handler, request *http.Request, turn <-chan struct{}) {
 	w := &reply{header: http.Header{}}
-	c.server.cfg.Handler.ServeHTTP(w, request.WithContext(c.requests))
+	handler.ServeHTTP(w, request.WithContext(c.requests))
 	select {
 	case <-turn:
 	case <-ctx.Done():
@@ -237,15 +248,6 @@
 	_ = c.net.Close()
 }
 
-func (c *conn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pending == 0 {
-		c.final = true
-		_ = c.net.Close()
-	}
-}
-
 func (c *conn) end() {
 	c.cancel()
 	_ = c.net.Close()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -32,6 +32,8 @@
 // Config configures a Server.
 type Config struct {
 	Handler http.Handler
+	// Refuse answers the requests that come after Finish.
+	Refuse http.Handler
 	// Limits returns the limits in force.
 	Limits func() Limits
 	// Refused is called for each connection whose input is no request.
@@ -44,7 +46,7 @@
 type Server struct {
 	cfg     Config
 	closing atomic.Bool
-	// finishing says that no further request is taken.
+	// finishing says that further requests are refused.
 	finishing atomic.Bool
 	wait      sync.WaitGroup
 
@@ -54,6 +56,9 @@
 
 // New returns a server that is not yet accepting.
 func New(cfg Config) *Server {
+	if cfg.Refuse == nil {
+		cfg.Refuse = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	}
 	if cfg.Refused == nil {
 		cfg.Refused = func() {}
 	}
@@ -99,15 +104,11 @@
 // Close makes every connection end after the answers to the requests that were read; idle ones end after a time.
 func (s *Server) Close() { s.closing.Store(true) }
 
-// Finish takes no further request: connections end after the answers that are under way, idle ones at once.
+// Finish refuses further requests, each as the last one of its connection. Connections without a request stay open: one
+// may be on its way, and a close would leave its caller in doubt whether it ran.
 func (s *Server) Finish() {
 	s.finishing.Store(true)
 	s.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.closeIdle()
-	}
 }
 
 // Abort ends the requests that run: they are answered with what their handlers know then, and the answers that wait
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,7 +198,10 @@
 
 // serveCallers takes callers as soon as there is a configuration, or after a short wait without one.
 func (n *Node) serveCallers(group *errgroup.Group, ctx context.Context) {
-	n.front = front.New(front.Config{Handler: n.proxy, Limits: n.limits, Refused: func() { n.metrics.Garbage("caller") }})
+	n.front = front.New(front.Config{
+		Handler: n.proxy, Refuse: http.HandlerFunc(n.proxy.RefuseStopping), Limits: n.limits,
+		Refused: func() { n.metrics.Garbage("caller") },
+	})
 	group.Go(func() error {
 		n.awaitConfiguration(ctx)
 		return errors.Wrap(n.front.Serve(ctx, n.callers), "serve callers")
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -125,6 +125,14 @@
 	p.writeAnswer(w, answer, c.deadline.Sub(p.cfg.Now()))
 }
 
+// RefuseStopping answers a request that comes too late before the node stops.
+func (p *Proxy) RefuseStopping(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(p.cfg.Headers.GetRequestId())
+	p.cfg.Logger.Info("node stops, request refused", zap.String("id", id), zap.String("path", pathOf(r)))
+	w.Header().Set("Retry-After", formatWait(shortRetry/2+rand.N(shortRetry)))
+	writeFailure(w, http.StatusServiceUnavailable, &wirepb.Failure{Kind: "stopping", Message: "this node stops", NotRun: true})
+}
+
 func (p *Proxy) refuse(w http.ResponseWriter, failure *RequestError) {
 	p.cfg.Garbage()
 	if failure.Status == http.StatusServiceUnavailable {
