Put nearly the whole load on a new version before it gets all calls, in less exposure

Ruled out: the strength of the evidence. Change: the steps are 1, 5, 15 and 25%, all drawn in slices; in the last one a slice carries nine tenths of the load. Doubt at that share goes back to 15%.

--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -62,7 +62,7 @@
 		d.begin(record)
 		return
 	}
-	if d.stepLasts(record) {
+	if d.retreat(record) || d.stepLasts(record) {
 		return
 	}
 	if reason := d.waits(record); reason != "" {
@@ -82,6 +82,21 @@
 	d.enter(record, 0, firstShare(record.GetStepCalls(), d.view.callsPerSecond(), stepTime))
 }
 
+// retreat goes back to a smaller share on evidence against the new version, so that it is less exposed while the doubt
+// lasts.
+func (d decision) retreat(record *wirepb.MoveRecord) bool {
+	if record.GetStep() <= retreatStep {
+		return false
+	}
+	f := d.view.judge(d.known)
+	if f.weight < holdAt {
+		return false
+	}
+	d.enter(record, retreatStep, stepShares[retreatStep])
+	record.Reason = "went back because " + f.reason
+	return true
+}
+
 func (d decision) enter(record *wirepb.MoveRecord, step, share uint32) {
 	record.Step, record.SharePermille, record.Reason = step, share, ""
 	record.StepAt = timestamppb.New(d.now)
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -187,6 +187,7 @@
 		{"takes the next step", enough, 20 * time.Second, 0, 10, hold, 3, 50, false},
 		{"survives a record with a step that the plan lacks", enough, 50 * time.Second, 9, 800, hold, 3, 1000, false},
 		{"holds with a failure in sight", failing, 40 * time.Second, 1, 50, finish, 3, 50, false},
+		{"goes back with a failure in sight", failing, 55 * time.Second, 3, 250, finish, 3, 150, false},
 		{"holds with little evidence", little, 58 * time.Second, 1, 50, hold, 3, 50, true},
 		{"finishes with little evidence when the team says so", little, 58 * time.Second, 3, 500, finish, 3, 1000, false},
 		{"says early that it is late", little, 57*time.Second + 500*time.Millisecond, 1, 50, hold, 3, 50, true},
@@ -217,6 +218,33 @@
 	}
 }
 
+// A version whose fault shows at full share only must have had no more than the users allow when it is found out.
+func TestExposureBeforeFullShareLeavesRoomToFindAFault(t *testing.T) {
+	const (
+		// The users allow a tenth of the calls between order and deadline and 50 more.
+		maxShare = 0.1
+		slack    = 50
+		// callsPerSecond is the rate of the busiest service of their deployments.
+		callsPerSecond = 270
+		// findTime is the time from a fault to the verdict on all nodes.
+		findTime = 700 * time.Millisecond
+	)
+	for _, length := range []time.Duration{12 * time.Second, 16 * time.Second, 60 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			record := &wirepb.MoveRecord{
+				DeclaredAt: timestamppb.New(declared), Deadline: timestamppb.New(declared.Add(length)),
+				Watch: durationpb.New(1500 * time.Millisecond), Order: 1,
+			}
+			exposed, entered := findTime.Seconds()*callsPerSecond, declared
+			for i, at := range NewPlan(record).Latest {
+				exposed += float64(stepShares[i]) / fullShare * at.Sub(entered).Seconds() * callsPerSecond
+				entered = at
+			}
+			require.LessOrEqual(t, exposed, maxShare*length.Seconds()*callsPerSecond+slack)
+		})
+	}
+}
+
 func TestForbid(t *testing.T) {
 	const (
 		allowed   = wirepb.Refusal_REFUSAL_UNSPECIFIED
--- a/internal/move/plan.go
+++ b/internal/move/plan.go
@@ -17,10 +17,14 @@
 )
 
 // stepShares are the thousandths of calls that go to the new version in each step.
-var stepShares = [...]uint32{10, 50, 200, 500, fullShare}
+var stepShares = [...]uint32{10, 50, 150, fullLoadShare, fullShare}
 
-// stepWeights are the parts of the time before the deadline that the steps before the last one take.
-var stepWeights = [...]float64{0.35, 0.25, 0.2, 0.2}
+// stepWeights are the parts of the time before the deadline that the steps before the last one take: most of it at small
+// shares, so that a version whose fault shows at full share only has had less than a tenth of the calls by then.
+var stepWeights = [...]float64{0.375, 0.325, 0.15, 0.15}
+
+// retreatStep is the step to which a move goes back from larger shares on evidence against the new version.
+const retreatStep = 2
 
 // Plan holds the times of a move's steps, worked back from its deadline.
 type Plan struct {
--- a/internal/move/slice.go
+++ b/internal/move/slice.go
@@ -14,9 +14,14 @@
 	// that no regular load stays in or out of the slices.
 	slicePeriod = 1013 * time.Millisecond
 	// maxSliced is the largest share, in thousandths, that is taken in slices.
-	maxSliced = 100
-	// sliceFactor is the length of a slice in multiples of the share; the other calls in it are the controls.
-	sliceFactor = 2
+	maxSliced = fullLoadShare
+	// fullLoadShare is the share, in thousandths, from which slices put nearly the whole load on the new version, as the
+	// last step will.
+	fullLoadShare = 250
+	// halfLoad and nearlyFullLoad are the thousandths of the calls in a slice that go to the new version; the others are
+	// the controls.
+	halfLoad       = 500
+	nearlyFullLoad = 900
 )
 
 // Group is what a call is in the comparison of two versions.
@@ -33,8 +38,8 @@
 )
 
 // Draw returns the group of a call that arrives at a time. A small share is drawn from a short slice of each period
-// only: the new version then meets half of the whole load for that moment, so that a fault that needs concurrent calls
-// shows early, and the controls meet the same moment, so that what befalls both is not held against the new one.
+// only: the new version then meets half of the whole load for that moment, and nearly all of it in the last step before
+// the full share, so that a fault that needs concurrent calls shows early, and the controls meet the same moment, so that what befalls both is not held against the new one.
 func (v *Verdicts) Draw(service *tree.Service, now time.Time) Group {
 	share := v.Share(service)
 	switch {
@@ -42,13 +47,21 @@
 		return GroupRest
 	case share > maxSliced:
 		return pickGroup(rand.Uint32N(fullShare) < share, GroupRest)
-	case !inSlice(service.Name, share*sliceFactor, now):
+	case !inSlice(service.Name, share*fullShare/sliceLoad(share), now):
 		return GroupRest
 	default:
-		return pickGroup(rand.Uint32N(sliceFactor) == 0, GroupControl)
+		return pickGroup(rand.Uint32N(fullShare) < sliceLoad(share), GroupControl)
 	}
 }
 
+// sliceLoad returns the thousandths of the calls in a slice that go to the new version.
+func sliceLoad(share uint32) uint32 {
+	if share >= fullLoadShare {
+		return nearlyFullLoad
+	}
+	return halfLoad
+}
+
 func pickGroup(drawn bool, otherwise Group) Group {
 	if drawn {
 		return GroupNew
--- a/internal/move/slice_test.go
+++ b/internal/move/slice_test.go
@@ -33,13 +33,14 @@
 
 func TestDrawGivesTheShare(t *testing.T) {
 	const all = float64(sliceTime / sliceStep)
-	for _, share := range []uint32{0, 10, 50, 100, 200, 500, fullShare} {
+	for _, share := range []uint32{0, 10, 50, 150, 250, 500, fullShare} {
 		drawn, wanted := drawAll(share), 1+all*float64(share)/fullShare
 		require.InEpsilon(t, wanted, 1+drawn[GroupNew], 0.1, "share %d", share)
 		if share > maxSliced {
 			require.Zero(t, drawn[GroupControl])
 		} else {
-			require.InEpsilon(t, wanted, 1+drawn[GroupControl], 0.1, "share %d", share)
+			controls := 1 + (wanted-1)*float64(fullShare-sliceLoad(share))/float64(sliceLoad(share))
+			require.InEpsilon(t, controls, 1+drawn[GroupControl], 0.1, "share %d", share)
 		}
 	}
 }
@@ -57,6 +58,14 @@
 	require.Len(t, places, 50, "the slices come to each part of the second")
 }
 
+// Before it takes all calls, the new version must have met nearly their whole load for a moment at a small share.
+func TestLastSlicesCarryNearlyTheWholeLoad(t *testing.T) {
+	last := stepShares[len(stepShares)-2]
+	drawn := drawAll(last)
+	require.LessOrEqual(t, last, uint32(250))
+	require.Greater(t, float64(drawn[GroupNew])/float64(drawn[GroupNew]+drawn[GroupControl]), 0.85)
+}
+
 func TestCondemnedVersionIsNotDrawn(t *testing.T) {
 	verdicts, service := NewVerdicts(), sliceService(fullShare)
 	verdicts.Merge(&wirepb.Verdict{Service: "shop", Version: "v2"})
