Hold a step while the earlier version is disturbed itself; tell overload where no upstream had room

(2) A call that every upstream refused for want of room was told 'no upstream', because the last pick found none untried. Change: a step waits while the old version's calls of this second or the one before were too bad to compare with, but not beyond the deadline when the team wants it met.

--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -71,6 +71,10 @@
 		record.Reason = "waits because " + f.reason
 		return
 	}
+	if route := d.view.disturbed(d.now); route != "" && !(d.mayFinish(record) && Late(record, d.now.Add(minStepTime))) {
+		record.Reason = "waits because the earlier version is disturbed, too, on route " + route
+		return
+	}
 	if reason := d.scarce(record); reason != "" {
 		d.widen(record)
 		record.Reason = reason
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -192,6 +192,11 @@
 	enough := view{"r": newRouteView(seconds(10, showing{calls: 400}), seconds(10, showing{calls: 10}))}
 	little := view{"r": newRouteView(seconds(10, showing{calls: 1}), []showing{{calls: 1}})}
 	failing := view{"r": newRouteView(seconds(10, showing{calls: 100}), append(seconds(9, showing{calls: 10}), showing{calls: 4, failures: 1}))}
+	disturbedAt := func(at time.Duration) view {
+		v := view{"r": newRouteView(nil, seconds(10, showing{calls: 10}))}
+		v["r"].from[declared.Add(at).Unix()] = showing{calls: 20, slow: 12}.counts()
+		return v
+	}
 	const hold, finish = wirepb.DeadlinePolicy_DEADLINE_POLICY_HOLD, wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH
 	tests := []struct {
 		name       string
@@ -212,6 +217,9 @@
 		{"takes the next step", enough, 20 * time.Second, 0, 10, hold, 3, 50, false},
 		{"survives a record with a step that the plan lacks", enough, 50 * time.Second, 9, 800, hold, 3, 1000, false},
 		{"holds with a failure in sight", failing, 40 * time.Second, 1, 50, finish, 3, 50, false},
+		{"holds while the old version is disturbed, too", disturbedAt(50 * time.Second), 50 * time.Second, 3, 250, finish, 3, 250, false},
+		{"goes on when that is over", disturbedAt(48 * time.Second), 50 * time.Second, 3, 250, finish, 3, 1000, false},
+		{"goes on in a disturbance when it would be late", disturbedAt(59 * time.Second), 59 * time.Second, 3, 250, finish, 3, 1000, false},
 		{"widens the share for want of evidence", little, 58 * time.Second, 1, 50, hold, 3, 100, true},
 		{"widens it no further than the next step", little, 58 * time.Second, 1, 150, hold, 3, 150, true},
 		{"never widens it to all calls", little, 58 * time.Second, 3, 250, hold, 3, 250, false},
--- a/internal/move/view.go
+++ b/internal/move/view.go
@@ -2,12 +2,16 @@
 
 import (
 	"sort"
+	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
+// disturbedSeconds is how many whole seconds back a disturbance of the old version keeps a step waiting.
+const disturbedSeconds = 1
+
 // routeView is what all nodes together know of one route of a moving service.
 type routeView struct {
 	from history
@@ -69,6 +73,20 @@
 	return names
 }
 
+// disturbed returns a route on which the old version itself was too bad in the last moments to compare anything with it,
+// or nothing. A step taken then could hide behind the disturbance, or be blamed for it once the old version has no calls.
+func (v view) disturbed(now time.Time) string {
+	for _, name := range v.routes() {
+		for second := now.Unix() - disturbedSeconds; second <= now.Unix(); second++ {
+			c := v[name].from[second]
+			if c.calls >= minSecondCalls && max(c.failureRate(), c.shedRate(), c.slowRate()) > maxComparable {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
 // callsPerSecond returns the calls of the service in its busiest second.
 func (v view) callsPerSecond() float64 {
 	seconds := history{}
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -28,10 +28,13 @@
 	maxStatus    = 599
 )
 
-// retryAfter tells a caller that was refused when to come back. An overload lasts: its callers are spread over the time
-// that they are ready to wait. Other refusals end as soon as the nodes have learned of the change behind them.
-func retryAfter(refusal wirepb.Refusal, left time.Duration) string {
+// retryAfter tells a caller that was refused when to come back. In an overload those whose answer can still be in time
+// come back soon; the others are spread over the time that they are ready to wait. Other refusals end as soon as the nodes have learned of the change behind them.
+func retryAfter(refusal wirepb.Refusal, left, objectiveLeft time.Duration) string {
 	if refusal == wirepb.Refusal_REFUSAL_OVERLOADED {
+		if objectiveLeft >= 2*shortRetry {
+			return formatWait(shortRetry/2 + rand.N(shortRetry))
+		}
 		part := minRetryPart + rand.Float64()*(maxRetryPart-minRetryPart)
 		return formatWait(time.Duration(part * float64(max(left, 0))))
 	}
@@ -41,7 +44,7 @@
 func formatWait(wait time.Duration) string { return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64) }
 
 // writeAnswer gives a caller the whole answer of its call, or what is known of it.
-func (p *Proxy) writeAnswer(w http.ResponseWriter, answer *wirepb.AnswerHead, left time.Duration) {
+func (p *Proxy) writeAnswer(w http.ResponseWriter, answer *wirepb.AnswerHead, left, objectiveLeft time.Duration) {
 	w.Header().Set(p.cfg.Headers.GetRequestId(), answer.GetCallId())
 	switch answer.GetOutcome() {
 	case wirepb.Outcome_OUTCOME_ANSWERED:
@@ -51,7 +54,7 @@
 		}
 		p.writeAnswered(w, answer)
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
-		w.Header().Set("Retry-After", retryAfter(answer.GetRefusal(), left))
+		w.Header().Set("Retry-After", retryAfter(answer.GetRefusal(), left, objectiveLeft))
 		writeFailure(w, http.StatusServiceUnavailable, &wirepb.Failure{
 			Kind: refusalKind(answer.GetRefusal()), Message: answer.GetDetail(), NotRun: true,
 		})
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -28,9 +28,10 @@
 	toNew := group == move.GroupNew
 	c.head.Control = group == move.GroupControl
 	var ran *wirepb.AnswerHead
+	refused := &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
 	arrived := 0
 	for hop := 1; ; hop++ {
-		answer := &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
+		answer := refused
 		chosen := p.choose(c, toNew)
 		if chosen != nil {
 			c.tried[chosen.stats] = true
@@ -42,11 +43,15 @@
 		if answer.GetArrived() || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
 			arrived++
 		}
+		refused = telling(refused, answer)
 		// A refusal of the last try says nothing of an earlier one that may have run.
 		if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && ran != nil {
 			answer = ran
 		}
 		if chosen == nil || hop == maxHops || arrived >= c.route.Attempts || p.expired(ctx, c) || !p.again(c, answer, toNew) {
+			if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
+				return refused
+			}
 			return answer
 		}
 		if answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
@@ -57,6 +62,15 @@
 	}
 }
 
+// telling returns which of two refusals tells more of why a call was not run: a node that has no room says when to come
+// back, one that is left without a reason does not.
+func telling(before, after *wirepb.AnswerHead) *wirepb.AnswerHead {
+	if after.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN || before.GetRefusal() == wirepb.Refusal_REFUSAL_OVERLOADED {
+		return before
+	}
+	return after
+}
+
 // expired reports whether no time is left for another try.
 func (p *Proxy) expired(ctx context.Context, c *call) bool {
 	return ctx.Err() != nil || !p.cfg.Now().Before(c.deadline)
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -122,7 +122,7 @@
 		p.cfg.Local.NoteFailure(c.service.Name)
 	}
 	p.logAnswer(c, state, answer)
-	p.writeAnswer(w, answer, c.deadline.Sub(p.cfg.Now()))
+	p.writeAnswer(w, answer, c.deadline.Sub(p.cfg.Now()), c.objective.Sub(p.cfg.Now()))
 }
 
 // RefuseStopping answers a request that comes too late before the node stops.
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -221,6 +222,57 @@
 	})
 }
 
+// A call that no upstream had room for is told so, however many were asked after: only then is its return spread.
+func TestRefusalThatTells(t *testing.T) {
+	refusal := func(r wirepb.Refusal) *wirepb.AnswerHead {
+		return &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: r}
+	}
+	const none, full, gone = wirepb.Refusal_REFUSAL_NO_UPSTREAM, wirepb.Refusal_REFUSAL_OVERLOADED, wirepb.Refusal_REFUSAL_UNREACHABLE
+	tests := []struct {
+		name  string
+		given []wirepb.Refusal
+		want  wirepb.Refusal
+	}{
+		{"none was there", []wirepb.Refusal{none}, none},
+		{"all had no room", []wirepb.Refusal{full, full}, full},
+		{"the last was gone", []wirepb.Refusal{full, gone}, full},
+		{"the first was gone", []wirepb.Refusal{gone, full}, full},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			told := refusal(none)
+			for _, r := range tt.given {
+				told = telling(told, refusal(r))
+			}
+			require.Equal(t, tt.want, told.GetRefusal())
+		})
+	}
+}
+
+func TestRetryAfter(t *testing.T) {
+	const left = 3 * time.Second
+	tests := []struct {
+		name          string
+		refusal       wirepb.Refusal
+		objectiveLeft time.Duration
+		least, most   time.Duration
+	}{
+		{"no upstream: as soon as nodes have learned of one", wirepb.Refusal_REFUSAL_NO_UPSTREAM, 0, shortRetry / 2, 3 * shortRetry / 2},
+		{"overload, while an answer can be in time", wirepb.Refusal_REFUSAL_OVERLOADED, time.Second, shortRetry / 2, 3 * shortRetry / 2},
+		{"overload, when it will be late", wirepb.Refusal_REFUSAL_OVERLOADED, 0, 600 * time.Millisecond, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for range 100 {
+				seconds, err := strconv.ParseFloat(retryAfter(tt.refusal, left, tt.objectiveLeft), 64)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, seconds, tt.least.Seconds()-0.001)
+				require.LessOrEqual(t, seconds, tt.most.Seconds()+0.001)
+			}
+		})
+	}
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	b := newBudget(BudgetConfig{})
 	spent := 0
