Excuse a new version by what the old one showed in the seconds around

Change: the rates of the second before and after count, too. A fault of the new version alone is found as before. Before: TestDisturbanceThatEndsWithinASecondExcuses fails; after: passes.

--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// A disturbance of both that ends within a second may fill the slice of that second and hardly show in the rest of it.
+func TestDisturbanceThatEndsWithinASecondExcuses(t *testing.T) {
+	r := newRouteView(
+		append(seconds(8, showing{calls: 50}), showing{calls: 50, slow: 48}, showing{calls: 50, slow: 5}),
+		append(seconds(9, showing{}), showing{calls: 12, slow: 10}),
+	)
+	found := r.judge("r", nil)
+	require.Less(t, found.weight, condemnAt, found.reason)
+}
+
 func TestLocalAlarm(t *testing.T) {
 	baseline := &wirepb.RouteBaseline{Calls: 1000, Slow: durationpb.New(10 * time.Millisecond)}
 	tests := []struct {
--- a/internal/move/window.go
+++ b/internal/move/window.go
@@ -37,17 +37,24 @@
 // served returns the calls that the upstream did not shed.
 func (c counts) served() float64 { return c.calls - c.sheds }
 
-// worse returns the counts with the rates of others where those are higher. A sample that shows a bad call counts for one
-// more of them, as its rate is uncertain.
+// worse returns the counts with the rates of others where those are higher.
 func (c counts) worse(other counts) counts {
-	c.failures = c.served() * max(cautious(c.failures, c.served()), other.failureRate())
-	c.sheds = c.calls * max(cautious(c.sheds, c.calls), other.shedRate())
-	c.slow = c.warm * max(cautious(c.slow, c.warm), other.slowRate())
+	c.failures = c.served() * max(c.failureRate(), other.failureRate())
+	c.sheds = c.calls * max(c.shedRate(), other.shedRate())
+	c.slow = c.warm * max(c.slowRate(), other.slowRate())
 	return c
 }
 
-// cautious returns the rate of bad calls of a sample, estimated high once it shows one.
-func cautious(bad, calls float64) float64 {
+// cautious returns the counts of a small sample with rates that are estimated high where it shows a bad call.
+func (c counts) cautious() counts {
+	c.failures = c.served() * highRate(c.failures, c.served())
+	c.sheds = c.calls * highRate(c.sheds, c.calls)
+	c.slow = c.warm * highRate(c.slow, c.warm)
+	return c
+}
+
+// highRate returns the rate of bad calls as if one more of them had been bad, once there is one.
+func highRate(bad, calls float64) float64 {
 	if bad == 0 {
 		return 0
 	}
