Link to a relay at once when it invites

Ruled out: the start itself (10 ms of processor time). Change: an invitation ends the rest and the pause before the next look for links. Before: TestInvitationEndsTheRest fails to build the state; after: passes.

--- a/internal/relay/attach.go
+++ b/internal/relay/attach.go
@@ -35,7 +35,31 @@
 		for _, address := range h.missing() {
 			h.wait.Go(func() { h.dial(ctx, address) })
 		}
-		pause(ctx, attachInterval/2+rand.N(attachInterval))
+		timer := time.NewTimer(attachInterval/2 + rand.N(attachInterval))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-h.found:
+		}
+		timer.Stop()
+	}
+}
+
+// expect makes this node dial an address at once that is known to take links now: a rest from an earlier failure, when the
+// node there was not yet ready for it, no longer applies.
+func (h *Hub) expect(text string) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return
+	}
+	h.mu.Lock()
+	if t := h.targets[address]; t != nil && !t.dialling {
+		delete(h.targets, address)
+	}
+	h.mu.Unlock()
+	select {
+	case h.found <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -87,6 +87,8 @@
 	rows    []*wirepb.NodeRow
 	// hurry ends the pause before the next look at the platform.
 	hurry chan struct{}
+	// found ends the pause before the next look for links.
+	found chan struct{}
 	wait  sync.WaitGroup
 }
 
@@ -100,6 +102,7 @@
 		targets:    map[netip.AddrPort]*target{},
 		invited:    map[netip.AddrPort]time.Time{},
 		hurry:      make(chan struct{}, 1),
+		found:      make(chan struct{}, 1),
 	}
 }
 
--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -139,4 +139,7 @@
 		h.cfg.Logger.Info("invited by a relay", zap.Strings("relays", invitation.GetAlternates()))
 	}
 	h.hear(invitation.GetAlternates())
+	if inviters := invitation.GetAlternates(); len(inviters) > 0 {
+		h.expect(inviters[0])
+	}
 }
--- a/internal/relay/invite_test.go
+++ b/internal/relay/invite_test.go
@@ -92,6 +92,22 @@
 	require.Eventually(t, func() bool { return away.Joined() && relay.Links() == 1 }, recovery, poll)
 }
 
+// After a loss of power a node may ask another for a link a moment before that one becomes a relay: its refusal must not
+// hold up the link once it invites.
+func TestInvitationEndsTheRest(t *testing.T) {
+	_, table := newTable(t)
+	inviter := netip.MustParseAddrPort("127.0.0.1:9")
+	client := store.New(store.Config{Address: table})
+	t.Cleanup(client.Close)
+	h := New(Config{Node: "node", DataCentre: "dc", Logger: zap.NewNop(), Now: time.Now, Store: client})
+	h.hear([]string{inviter.String()})
+	h.rest(inviter)
+	require.Empty(t, h.missing())
+	h.TakeInvitation(&wirepb.LinkRedirect{Alternates: []string{inviter.String()}, Relay: true})
+	require.Len(t, h.found, 1, "the invitation ends the pause")
+	require.Equal(t, []netip.AddrPort{inviter}, h.missing())
+}
+
 // Leases of former lives must not hold up a data centre for the time of a lease.
 func TestLeaseOfAFormerLifeIsVoid(t *testing.T) {
 	t.Run("its holder runs, but as no relay", func(t *testing.T) {
