Carry large changes to data centres whose relays the platform turns away

Between data centres a change above 2 KB is left to the platform, and was sent only with a later beat, 3 s apart; the platform turned the relays of that data centre away. Ruled out: the time to read and apply 620 routes (6 and 10 ms, benchmark). Change: relays tell each other at once that they have a large change; one that has not told within 0.6 s is sent it. Large changes are compressed, so that most fit into a row, which saves writing and reading an object. Before: TestLargeChangeThatIsNotReadIsSent and TestLargeChanges fail; after: pass.

--- a/internal/chain/commit.go
+++ b/internal/chain/commit.go
@@ -166,7 +166,7 @@
 
 // write reports whether the changes took their places; a lost answer is resolved by the operation id in the row.
 func (l *Log) write(ctx context.Context, head *wirepb.Head, version uint64, changes []*wirepb.Change) (bool, error) {
-	rows, err := l.storeLarge(ctx, changes)
+	rows, err := l.packLarge(ctx, changes)
 	if err != nil {
 		return false, err
 	}
@@ -216,8 +216,9 @@
 	return stored.GetOperationId() == change.GetOperationId(), true, nil
 }
 
-// storeLarge moves the puts of changes that are too large for a row into objects.
-func (l *Log) storeLarge(ctx context.Context, changes []*wirepb.Change) ([]*wirepb.Change, error) {
+// packLarge compresses the puts of large changes, most of which repeat each other, and moves those into objects that are
+// too large for a row even so.
+func (l *Log) packLarge(ctx context.Context, changes []*wirepb.Change) ([]*wirepb.Change, error) {
 	rows := slices.Clone(changes)
 	for i, c := range changes {
 		if proto.Size(c) <= maxRowBytes {
@@ -227,12 +228,16 @@
 		if err != nil {
 			return nil, err
 		}
-		name := changePrefix + uuid.NewString()
-		if err := l.store.PutObject(ctx, name, data); err != nil {
+		rows[i] = proto.CloneOf(c)
+		rows[i].Puts = nil
+		if len(data) <= maxRowBytes {
+			rows[i].Packed = data
+			continue
+		}
+		rows[i].Object = changePrefix + uuid.NewString()
+		if err := l.store.PutObject(ctx, rows[i].GetObject(), data); err != nil {
 			return nil, err
 		}
-		rows[i] = proto.CloneOf(c)
-		rows[i].Puts, rows[i].Object = nil, name
 	}
 	return rows, nil
 }
--- a/internal/chain/follow.go
+++ b/internal/chain/follow.go
@@ -96,27 +96,31 @@
 		if err := proto.Unmarshal(r.GetValue(), change); err != nil {
 			return nil, &CorruptError{Name: r.GetKey(), Cause: err}
 		}
-		if change.GetObject() != "" {
-			if err := l.loadPuts(ctx, change); err != nil {
-				return nil, err
-			}
+		if err := l.loadPuts(ctx, change); err != nil {
+			return nil, err
 		}
 		changes = append(changes, change)
 	}
 	return changes, nil
 }
 
-// loadPuts reads the puts of a change that was too large for its row.
+// loadPuts restores the puts of a change that was too large for its row.
 func (l *Log) loadPuts(ctx context.Context, change *wirepb.Change) error {
-	data, err := l.store.Object(ctx, change.GetObject())
-	if err != nil {
-		return err
+	data := change.GetPacked()
+	if change.GetObject() != "" {
+		var err error
+		if data, err = l.store.Object(ctx, change.GetObject()); err != nil {
+			return err
+		}
+	}
+	if len(data) == 0 {
+		return nil
 	}
 	stored, err := DecodeSnapshot(data)
 	if err != nil {
 		return err
 	}
-	change.Puts, change.Object = stored.GetPuts(), ""
+	change.Puts, change.Object, change.Packed = stored.GetPuts(), "", nil
 	return nil
 }
 
--- a/internal/chain/log_test.go
+++ b/internal/chain/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
@@ -132,6 +133,47 @@
 	require.Equal(t, uint64(changes), kept[0].GetRevision())
 }
 
+// setServices sets many services; digits makes their names compress badly.
+func setServices(count int, digits bool) Build {
+	return func(state *tree.State) (*wirepb.Change, error) {
+		random := rand.New(rand.NewPCG(1, 1))
+		change := &wirepb.Change{Revision: state.Revision + 1, Author: "shop", Time: timestamppb.Now()}
+		for i := range count {
+			name := strconv.Itoa(i)
+			if digits {
+				name += "-" + strconv.FormatUint(random.Uint64(), 36) + strconv.FormatUint(random.Uint64(), 36)
+			}
+			change.Puts = append(change.Puts, &wirepb.Put{Path: "/teams/shop/services/" + name, Value: `{"version": "v1"}`})
+		}
+		return change, nil
+	}
+}
+
+// Large changes repeat most of their words: they fit into a row without an object, which costs two more calls on the way
+// of a configuration. Others come to all by an object.
+func TestLargeChanges(t *testing.T) {
+	const services = 2000
+	tests := []struct {
+		name    string
+		digits  bool
+		objects int
+	}{
+		{"repeats itself", false, 0},
+		{"does not", true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			platform, address := newPlatform(t)
+			_, err := newLog(t, address).Submit(t.Context(), "large", setServices(services, tt.digits))
+			require.NoError(t, err)
+			require.Len(t, platform.Objects(), tt.objects)
+			reader := newLog(t, address)
+			require.NoError(t, reader.Sync(t.Context()))
+			require.Len(t, reader.State().Services, services)
+		})
+	}
+}
+
 func TestLearn(t *testing.T) {
 	change := func(revision uint64, value string) *wirepb.Change {
 		return &wirepb.Change{Revision: revision, Time: timestamppb.Now(), Puts: []*wirepb.Put{{Path: service, Value: value}}}
--- a/internal/emul/platform.go
+++ b/internal/emul/platform.go
@@ -1,8 +1,10 @@
 package emul
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -251,6 +253,13 @@
 	delete(p.objects, name)
 }
 
+// Objects returns the names of the stored objects.
+func (p *Platform) Objects() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.objects))
+}
+
 func (p *Platform) object(name string) ([]byte, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/changes.go
+++ b/internal/relay/changes.go
@@ -15,6 +15,9 @@
 	batchChanges = 64
 	// farBytes is the size up to which changes are sent between data centres: more cost less to read from the platform.
 	farBytes = 2 << 10
+	// leaveTime is how long the other side may take to read such changes: a read takes about 0.3 s, and the users' least
+	// bound for a configuration is 2 s.
+	leaveTime = 600 * time.Millisecond
 )
 
 // sendChanges sends what the other side lacks. What came from another relay goes to those of other data centres only
@@ -23,8 +26,8 @@
 	if l.far && !due && l.hub.spreads() {
 		return nil
 	}
-	if l.leavesToPlatform(due) {
-		return nil
+	if l.leavesToPlatform() {
+		return l.tellRevision()
 	}
 	for {
 		l.mu.Lock()
@@ -49,8 +52,8 @@
 }
 
 // leavesToPlatform reports whether the other side, a relay of another data centre, is to read large changes from the
-// platform itself; when it has not told by its next beat that it has them, they are sent.
-func (l *link) leavesToPlatform(due bool) bool {
+// platform itself; when it has not told after a while that it has them, they are sent, since the platform may turn it away.
+func (l *link) leavesToPlatform() bool {
 	if !l.far {
 		return false
 	}
@@ -68,7 +71,26 @@
 	if l.left.IsZero() {
 		l.left = l.hub.cfg.Now()
 	}
-	return !due || l.hub.cfg.Now().Sub(l.left) <= farBeatInterval
+	return l.hub.cfg.Now().Sub(l.left) < leaveTime
+}
+
+// tellRevision tells the other side once what this one has, so that it need not send it.
+func (l *link) tellRevision() error {
+	if revision := l.hub.cfg.Log.State().Revision; revision > l.toldRevision {
+		l.toldRevision = revision
+		return l.sendBeat()
+	}
+	return nil
+}
+
+// leaves returns a channel that receives when changes were left to the platform for long enough, or nil.
+func (l *link) leaves() <-chan time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.left.IsZero() {
+		return nil
+	}
+	return time.After(max(leaveTime-l.hub.cfg.Now().Sub(l.left), time.Millisecond))
 }
 
 func (l *link) advance(revision uint64) {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -58,6 +58,8 @@
 	far   bool
 	// told holds the alternates that the other side knows.
 	told []string
+	// toldRevision is the revision that the other side was last told of apart from the regular beats.
+	toldRevision uint64
 
 	depth atomic.Uint32
 	below atomic.Pointer[Summary]
@@ -129,6 +131,7 @@
 		case <-changes:
 		case <-verdicts:
 		case <-l.wake:
+		case <-l.leaves():
 		case <-members:
 			time.Sleep(gatherTime)
 		}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
@@ -94,6 +95,53 @@
 	require.Empty(t, sent(t, far, farSide, false), "the other relay has it from another data centre")
 }
 
+// frames returns the kinds of frames that a link sends within a time.
+func frames(l *link, theirs net.Conn, within time.Duration) []int {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.send(ctx, l.cursors(l.revision), l.hub.cfg.Members.Digest())
+	}()
+	var kinds []int
+	reader := bufio.NewReader(theirs)
+	_ = theirs.SetReadDeadline(time.Now().Add(within))
+	for {
+		message := &wirepb.LinkFrame{}
+		if frame.Read(reader, message, maxFrameBytes) != nil {
+			break
+		}
+		kinds = append(kinds, kindOf(message))
+	}
+	<-done
+	return kinds
+}
+
+// A relay of another data centre reads a large change from the platform, but the platform may turn it away.
+func TestLargeChangeThatIsNotReadIsSent(t *testing.T) {
+	large := newChange(1)
+	for i := range farBytes / 32 {
+		large.Puts = append(large.Puts, &wirepb.Put{Path: fmt.Sprintf("/teams/shop/services/shop-%d", i), Value: `{"version": "v1"}`})
+	}
+	newFar := func() (*link, net.Conn) {
+		h := newHub()
+		h.cfg.Log.Learn([]*wirepb.Change{large})
+		l, theirs := newLink(t, h, "far")
+		l.relay, l.far, l.revision = true, true, 0
+		return l, theirs
+	}
+	t.Run("it is sent within the bound for a configuration", func(t *testing.T) {
+		l, theirs := newFar()
+		require.Equal(t, []int{kindBeat, kindChanges}, frames(l, theirs, 2*leaveTime))
+	})
+	t.Run("it is not sent to one that has told that it has it", func(t *testing.T) {
+		l, theirs := newFar()
+		time.AfterFunc(leaveTime/2, func() { _ = l.takeBeat(&wirepb.LinkBeat{Revision: 1}) })
+		require.Equal(t, []int{kindBeat}, frames(l, theirs, 2*leaveTime))
+	})
+}
+
 func TestAlternatesAreToldOnce(t *testing.T) {
 	h := newHub()
 	h.relay = true
