--- a/internal/emul/caller.go
+++ b/internal/emul/caller.go
@@ -45,14 +45,16 @@
 
 // Event is one request in a caller's history.
 type Event struct {
-	RequestID string        `json:"request_id"`
-	Key       string        `json:"key,omitempty"`
-	Path      string        `json:"path"`
-	Sent      time.Time     `json:"sent"`
-	Took      time.Duration `json:"took"`
-	Status    int           `json:"status"`
-	Outcome   string        `json:"outcome"`
-	Version   string        `json:"version,omitempty"`
+	RequestID string `json:"request_id"`
+	// Address is the node that the request was sent to.
+	Address netip.AddrPort `json:"address"`
+	Key     string         `json:"key,omitempty"`
+	Path    string         `json:"path"`
+	Sent    time.Time      `json:"sent"`
+	Took    time.Duration  `json:"took"`
+	Status  int            `json:"status"`
+	Outcome string         `json:"outcome"`
+	Version string         `json:"version,omitempty"`
 	// Whole says that the answer belongs to the request and is complete.
 	Whole bool   `json:"whole"`
 	Error string `json:"error,omitempty"`
@@ -135,7 +137,7 @@
 }
 
 func (c *Caller) send(load Load, address netip.AddrPort, key string) Event {
-	event := Event{RequestID: uuid.NewString(), Key: key, Path: load.Path, Sent: time.Now()}
+	event := Event{RequestID: uuid.NewString(), Address: address, Key: key, Path: load.Path, Sent: time.Now()}
 	body := bytes.Repeat([]byte("b"), load.BodyBytes)
 	if err := c.exchange(&event, address, body); err != nil {
 		event.Error = err.Error()
--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -36,10 +36,12 @@
 
 // UpstreamConfig configures an Upstream.
 type UpstreamConfig struct {
-	Service     string
-	Version     string
-	Address     netip.AddrPort
-	Node        netip.AddrPort
+	Service string
+	Version string
+	Address netip.AddrPort
+	Node    netip.AddrPort
+	// Announced is the address that the upstream tells; zero means its own.
+	Announced   netip.AddrPort
 	Slots       int
 	Connections int
 	// ServiceTime is the mean time of a call.
@@ -201,8 +203,12 @@
 }
 
 func (u *Upstream) announce(leaving bool) {
+	address := u.cfg.Address
+	if u.cfg.Announced.IsValid() {
+		address = u.cfg.Announced
+	}
 	body, err := protojson.Marshal(&wirepb.Announcement{
-		Service: u.cfg.Service, Version: u.cfg.Version, Address: u.cfg.Address.String(),
+		Service: u.cfg.Service, Version: u.cfg.Version, Address: address.String(),
 		Slots: uint32(u.cfg.Slots), Connections: uint32(u.cfg.Connections), Leaving: leaving,
 		Uptime: durationpb.New(time.Since(u.started)),
 	})
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -71,7 +71,7 @@
 		record.Reason = "waits because " + f.reason
 		return
 	}
-	if route := d.view.disturbed(d.now); route != "" && !(d.mayFinish(record) && Late(record, d.now.Add(minStepTime))) {
+	if route := d.view.disturbed(d.now); route != "" && (!d.mayFinish(record) || !Late(record, d.now.Add(minStepTime))) {
 		record.Reason = "waits because the earlier version is disturbed, too, on route " + route
 		return
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -194,6 +194,7 @@
 
 func newNode(in parts) (*Node, error) {
 	n := &Node{
+		serving:  make(chan struct{}),
 		settings: in.Settings, logger: in.Logger, now: in.Now, store: in.Store, log: in.Log, members: in.Members,
 		verdicts: in.Verdicts, pool: in.Pool, mover: in.Mover, registry: in.Registry, hub: in.Hub, picker: in.Picker,
 		importer: in.Importer, claims: in.Claims, proxy: in.Proxy, admin: in.Admin, metrics: in.Metrics,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,10 +88,12 @@
 	metrics  *meter.Meter
 
 	stopping atomic.Bool
-	peers    *peer.Server
-	callers  net.Listener
-	admins   net.Listener
-	locals   net.Listener
+	// serving is closed when callers begin to be served.
+	serving chan struct{}
+	peers   *peer.Server
+	callers net.Listener
+	admins  net.Listener
+	locals  net.Listener
 	// readies is nil when only the admin API tells whether the node takes callers.
 	readies net.Listener
 	front   *front.Server
@@ -204,6 +206,7 @@
 	})
 	group.Go(func() error {
 		n.awaitConfiguration(ctx)
+		close(n.serving)
 		return errors.Wrap(n.front.Serve(ctx, n.callers), "serve callers")
 	})
 }
@@ -227,13 +230,13 @@
 	return limits
 }
 
-// awaitConfiguration lets callers of a node that just started wait a little rather than be refused.
+// awaitConfiguration lets callers of a node that just started wait a little rather than be refused, unless it stops.
 func (n *Node) awaitConfiguration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, firstWait)
 	defer cancel()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for n.log.State().Revision == 0 || !n.hub.Joined() {
+	for !n.stopping.Load() && (n.log.State().Revision == 0 || !n.hub.Joined()) {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -12,6 +12,8 @@
 
 const (
 	drainPoll = 10 * time.Millisecond
+	// acceptTime suffices to accept the callers that wait at the listener when a node stops.
+	acceptTime = 50 * time.Millisecond
 	// quietTime is how long nothing may have run before the connections close: calls on their way arrive within it.
 	quietTime = 150 * time.Millisecond
 	// ownCallsTime is how long callers are still taken for the sake of the calls that the upstream makes itself: longer
@@ -41,7 +43,9 @@
 	n.logger.Info("node stops", zap.Int("running", n.running()))
 	started := n.now()
 	n.front.Close()
-	time.Sleep(n.settings.LeaveTime)
+	// Callers that have been waiting for the first configuration are answered, too.
+	<-n.serving
+	time.Sleep(max(n.settings.LeaveTime, acceptTime))
 	n.registry.Stop()
 	var leave sync.WaitGroup
 	defer leave.Wait()
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -37,8 +37,8 @@
 			c.tried[chosen.stats] = true
 			answer = p.attempt(ctx, c, chosen, toNew && arrived+1 < c.route.Attempts)
 		}
-		if toNew && c.route.Idempotent && answer.GetStatus() >= http.StatusInternalServerError {
-			p.confirms.begin(c.route, p.cfg.Now())
+		if toNew {
+			p.noteTrial(c, answer)
 		}
 		if answer.GetArrived() || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
 			arrived++
@@ -62,6 +62,13 @@
 	}
 }
 
+// noteTrial has the next calls of a route confirm what one to a version on trial showed.
+func (p *Proxy) noteTrial(c *call, answer *wirepb.AnswerHead) {
+	if c.route.Idempotent && answer.GetStatus() >= http.StatusInternalServerError {
+		p.confirms.begin(c.route, p.cfg.Now())
+	}
+}
+
 // telling returns which of two refusals tells more of why a call was not run: a node that has no room says when to come
 // back, one that is left without a reason does not.
 func telling(before, after *wirepb.AnswerHead) *wirepb.AnswerHead {
--- a/test/proof/call_test.go
+++ b/test/proof/call_test.go
@@ -1,10 +1,15 @@
 package proof
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -79,12 +84,33 @@
 	t.Logf("callers: %+v", emul.NewReport(events))
 }
 
-// isRefusedConnection says that the caller asked a node that was not there: nothing was sent to it.
-func isRefusedConnection(text string) bool {
-	const refused = "connection refused"
-	return len(text) >= len(refused) && text[len(text)-len(refused):] == refused
+// A node that stops before it had a configuration answers the callers that wait for it. Found by the soak, seed 35.
+func TestStopBeforeTheFirstConfigurationAnswers(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	v := d.vms[0]
+	d.startNode(v)
+	cmd := d.nodes[v.Node]
+	var conn net.Conn
+	d.await(startTime, "a connection", func() bool {
+		var err error
+		conn, err = net.Dial("tcp", v.Caller().String())
+		return err == nil
+	})
+	defer func() { _ = conn.Close() }()
+	_, err := io.WriteString(conn, "GET /shop HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "not_run", response.Header.Get("Turmericdale-Outcome"))
 }
 
+// isRefusedConnection says that the caller got no connection: nothing was sent to the node.
+func isRefusedConnection(text string) bool { return strings.Contains(text, ": connect: ") }
+
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/test/proof/deploy_test.go
+++ b/test/proof/deploy_test.go
@@ -64,8 +64,10 @@
 
 // deployment is a small deployment: the nodes are processes, the stand-ins run in the test.
 type deployment struct {
-	t         *testing.T
-	platform  *emul.Platform
+	t        *testing.T
+	platform *emul.Platform
+	// address is the platform's, as the nodes know it.
+	address   netip.AddrPort
 	vms       []emul.VM
 	nodes     map[string]*exec.Cmd
 	directory string
@@ -80,6 +82,15 @@
 }
 
 func start(t *testing.T) *deployment {
+	t.Helper()
+	d := newDeployment(t)
+	d.serve(d.address, d.platform.Handler())
+	d.begin(func(emul.VM) emul.UpstreamConfig { return emul.UpstreamConfig{} })
+	return d
+}
+
+// newDeployment lays out a deployment whose processes are not yet started.
+func newDeployment(t *testing.T) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, directory: t.TempDir(), nodes: map[string]*exec.Cmd{}, upstreams: map[netip.AddrPort]*runningUpstream{},
@@ -97,11 +108,17 @@
 	require.NoError(t, layout.WriteLayout(emul.LayoutConfig{
 		Directory: d.directory, Base: base, Platform: platform, AdminTokenSHA256: hex.EncodeToString(sum[:]),
 	}))
-	d.serve(platform, d.platform.Handler())
+	d.address = platform
+	t.Cleanup(d.stopAll)
+	return d
+}
+
+// begin starts the nodes and the first version's upstreams and waits until all routes answer.
+func (d *deployment) begin(upstream func(v emul.VM) emul.UpstreamConfig) {
+	d.t.Helper()
 	for _, v := range d.vms {
 		d.startNode(v)
 	}
-	t.Cleanup(d.stopAll)
 	d.awaitMembers()
 	d.change("/teams/shop/services/shop", `{"version": "v1", "cold_start": "0s"}`)
 	d.change("/teams/shop/services/orders", `{"version": "v1"}`)
@@ -109,10 +126,9 @@
 	d.change("/teams/shop/routes/detail", `{"path_prefix": "/shop/detail", "service": "shop", "idempotent": true, "timeout": "2s"}`)
 	d.change("/teams/shop/routes/commission", `{"path_prefix": "/orders", "service": "orders", "at_most_once": true, "class": "CLASS_CRITICAL", "timeout": "3s"}`)
 	for _, v := range d.vms {
-		d.startUpstreamOf(v, emul.UpstreamConfig{})
+		d.startUpstreamOf(v, upstream(v))
 	}
 	d.awaitRoutes()
-	return d
 }
 
 func (d *deployment) serve(address netip.AddrPort, handler http.Handler) {
