--- a/internal/move/slice.go
+++ b/internal/move/slice.go
@@ -39,7 +39,8 @@
 
 // Draw returns the group of a call that arrives at a time. A small share is drawn from a short slice of each period
 // only: the new version then meets half of the whole load for that moment, and nearly all of it in the last step before
-// the full share, so that a fault that needs concurrent calls shows early, and the controls meet the same moment, so that what befalls both is not held against the new one.
+// the full share, so that a fault that needs concurrent calls shows early. The controls meet the same moment, so that what
+// befalls both is not held against the new one.
 func (v *Verdicts) Draw(service *tree.Service, now time.Time) Group {
 	share := v.Share(service)
 	switch {
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -29,7 +29,8 @@
 )
 
 // retryAfter tells a caller that was refused when to come back. In an overload those whose answer can still be in time
-// come back soon; the others are spread over the time that they are ready to wait. Other refusals end as soon as the nodes have learned of the change behind them.
+// come back soon; the others are spread over the time that they are ready to wait. Other refusals end as soon as the nodes
+// have learned of the change behind them.
 func retryAfter(refusal wirepb.Refusal, left, objectiveLeft time.Duration) string {
 	if refusal == wirepb.Refusal_REFUSAL_OVERLOADED {
 		if objectiveLeft >= 2*shortRetry {
