--- a/test/proof/deploy_test.go
+++ b/test/proof/deploy_test.go
@@ -277,17 +277,23 @@
 func (d *deployment) awaitRoutes() {
 	d.t.Helper()
 	for _, v := range d.vms {
-		d.await(startTime, "routes of "+v.Node, func() bool {
-			response, err := http.Get("http://" + v.Caller().String() + "/shop")
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
+		d.awaitRoute(v, startTime)
 	}
 }
 
+// awaitRoute waits until a node answers callers.
+func (d *deployment) awaitRoute(v emul.VM, limit time.Duration) {
+	d.t.Helper()
+	d.await(limit, "routes of "+v.Node, func() bool {
+		response, err := http.Get("http://" + v.Caller().String() + "/shop")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // relays returns the names of the VMs whose nodes are relays.
 func (d *deployment) relays() []emul.VM {
 	var list []emul.VM
--- a/test/proof/soak_test.go
+++ b/test/proof/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -127,7 +126,10 @@
 
 // disturbAll starts a fault every moment; each lasts a time of its own, so that they overlap.
 func (s *soak) disturbAll() {
-	faults := []func(){s.killNode, s.freezeNode, s.stopNode, s.stopNode, s.reload, s.disturbPlatform, s.disturbWire, s.disturbWire, s.changeSettings}
+	faults := []func(){
+		s.killNode, s.freezeNode, s.stopNode, s.stopNode, s.reload,
+		s.disturbPlatform, s.disturbWire, s.disturbWire, s.changeSettings,
+	}
 	for end := time.Now().Add(soakTime); time.Now().Before(end); time.Sleep(s.draw(100, 600)) {
 		s.wait.Go(faults[s.pick(len(faults))])
 	}
@@ -288,14 +290,7 @@
 func (s *soak) requireSettled() {
 	s.t.Helper()
 	for _, v := range s.vms {
-		s.await(settleTime, "routes of "+v.Node, func() bool {
-			response, err := http.Get("http://" + v.Caller().String() + "/shop")
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
+		s.awaitRoute(v, settleTime)
 		s.await(inForceTime, "accepted changes on "+v.Node, func() bool { return s.status(v).GetAppliedRevision() >= s.accepted })
 	}
 }
