Break off no try of a version on trial once the node stops

Whether the node stops was asked only when a try began. Change: it is asked when the time is up. Ruled out: the end of the stop, 4 s later. Before: with that question taken out TestTrialIsNotCutByAStop/stopping_true fails; after: passes, 3 runs with -race.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -199,7 +199,7 @@
 	}
 	answer := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error(), Arrived: true}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		answer.Detail = "the caller's node gave the call up"
 		return answer, ResultAbandoned
 	case u.countsAgainstVersion():
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -142,8 +142,8 @@
 func (p *Proxy) attempt(ctx context.Context, c *call, chosen *choice, onTrial bool) *wirepb.AnswerHead {
 	started := p.cfg.Now()
 	c.setTimeLeft(started)
-	ctx, cancel := context.WithTimeout(ctx, p.tryTime(c, onTrial, c.deadline.Sub(started)))
-	defer cancel()
+	ctx, end := p.withTryTime(ctx, c, onTrial, c.deadline.Sub(started))
+	defer end()
 	answer, err := p.offer(ctx, c, chosen)
 	took := p.cfg.Now().Sub(started)
 	p.cfg.Picker.note(chosen, answer, took, err != nil && ctx.Err() == nil)
@@ -159,20 +159,31 @@
 	return p.exchange(ctx, chosen, c.head)
 }
 
-// tryTime returns how long a try may last; a version on trial gets little more than the earlier one takes, as long as
-// another try can follow.
-func (p *Proxy) tryTime(c *call, onTrial bool, left time.Duration) time.Duration {
-	switch {
-	case !c.route.Idempotent, p.cfg.Stopping():
-		return left + answerGrace
-	case onTrial:
-		usual := p.cfg.Picker.usualTime(c.service.Name, p.cfg.Verdicts.Current(c.service), c.service.Record.GetTo())
-		return min(max(trialFactor*usual, minTrialTime), left/2)
-	default:
-		return left + answerGrace
+// withTryTime bounds a try. One of a version on trial gets little more than the earlier version takes, as long as another
+// try can follow; when this node has begun to stop by then, the upstream's work is not broken off.
+func (p *Proxy) withTryTime(ctx context.Context, c *call, onTrial bool, left time.Duration) (context.Context, func()) {
+	ctx, end := context.WithTimeout(ctx, left+answerGrace)
+	if !c.route.Idempotent || !onTrial {
+		return ctx, end
+	}
+	ctx, cut := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(p.trialTime(c, left), func() {
+		if !p.cfg.Stopping() {
+			cut(context.DeadlineExceeded)
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cut(nil)
+		end()
 	}
 }
 
+func (p *Proxy) trialTime(c *call, left time.Duration) time.Duration {
+	usual := p.cfg.Picker.usualTime(c.service.Name, p.cfg.Verdicts.Current(c.service), c.service.Record.GetTo())
+	return min(max(trialFactor*usual, minTrialTime), left/2)
+}
+
 // exchange hands the call to the node beside the upstream; what is not proved not to have run is unknown.
 func (p *Proxy) exchange(ctx context.Context, chosen *choice, head *wirepb.CallHead) (*wirepb.AnswerHead, error) {
 	stream, err := p.cfg.Pool.Open(ctx, chosen.upstream.PeerAddress)
@@ -208,11 +219,11 @@
 
 // endOf returns why a conversation ended: its own end hides that the caller left or that the time was up.
 func endOf(ctx context.Context, err error) error {
-	switch ctxErr := ctx.Err(); {
-	case errors.Is(ctxErr, context.Canceled):
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.Canceled):
 		return &LeftError{}
-	case ctxErr != nil:
-		return ctxErr
+	case cause != nil:
+		return cause
 	default:
 		return err
 	}
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -222,6 +222,29 @@
 	})
 }
 
+// A try of a version on trial ends early for the sake of another one, but not once the node stops: its upstream is at work.
+func TestTrialIsNotCutByAStop(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stopping %t", stopping), func(t *testing.T) {
+			f := newFixture(t)
+			var stops atomic.Bool
+			f.proxy.cfg.Stopping = stops.Load
+			service := &tree.Service{Name: "shop", Stable: "v0", Record: &wirepb.MoveRecord{Service: "shop", From: "v0", To: "v1"}}
+			c := &call{service: service, route: &tree.Route{Name: "read", Idempotent: true, Service: service, Timeout: time.Second}}
+			ctx, end := f.proxy.withTryTime(t.Context(), c, true, time.Second)
+			defer end()
+			stops.Store(stopping)
+			select {
+			case <-ctx.Done():
+				require.False(t, stopping, "the try was cut")
+				require.ErrorIs(t, context.Cause(ctx), context.DeadlineExceeded)
+			case <-time.After(2 * minTrialTime):
+				require.True(t, stopping, "the try was not cut")
+			}
+		})
+	}
+}
+
 // A call that no upstream had room for is told so, however many were asked after: only then is its return spread.
 func TestRefusalThatTells(t *testing.T) {
 	refusal := func(r wirepb.Refusal) *wirepb.AnswerHead {
