Take only refused connections as such again, and list seed 42 as red

Cause: the check had been eased to let any failed connect pass, since the soak's seed 42 ended in a reset one; that was read off the error's text, not traced, and eased the planned stops' proof as well. Change: the former check is back, as strict as it was; the seed stays as a regression case, listed as known red.

--- a/test/proof/call_test.go
+++ b/test/proof/call_test.go
@@ -108,8 +108,8 @@
 	require.Equal(t, "not_run", response.Header.Get("Turmericdale-Outcome"))
 }
 
-// isRefusedConnection says that the caller got no connection: nothing was sent to the node.
-func isRefusedConnection(text string) bool { return strings.Contains(text, ": connect: ") }
+// isRefusedConnection says that the caller asked a node that was not there: nothing was sent to it.
+func isRefusedConnection(text string) bool { return strings.HasSuffix(text, "connection refused") }
 
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
 	tests := []struct {
--- a/test/proof/soak_test.go
+++ b/test/proof/soak_test.go
@@ -58,6 +58,7 @@
 // regressions are seeds that failed once, each with a line on the cause.
 var regressions = map[uint64]string{
 	35: "a node that stopped before its first configuration reset the callers that waited for it",
+	42: "connect reset at a stop",
 }
 
 func TestSoak(t *testing.T) {
