Decide undecided moves sooner, and blame no new version in a second without stable calls

Cause, of three known reds in moves: - A good version was rejected for a fault of both versions: in a second with fewer than three calls of the stable version, which a burst opens, the new version was compared with the whole window. The disturbance of the seconds beside it was ignored. - A fault of one call in ten stayed between holding and rejecting: a verdict needs about 11 calls of the new version, which at a share of 10 to 12 thousandths and 260 calls a second take 4 s. - A move was late because two steps waited for three calls on a route that gets 2 in the step's time at the first share. Ruled out: late reports as the cause of the rejection (the test has none), a lower threshold for verdicts (one false rejection in a thousand becomes one in five), rejecting after a time of holding (the same). Change: such a second is compared with the worse of the window and its neighbours; an undecided version gets 50 thousandths at once, since a verdict takes the same number of calls at any share; the first share suits the route with the least traffic, up to the share of the second step.

--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -40,7 +40,7 @@
 	slices.Sort(seconds)
 	worst, sum := finding{route: name}, faultEvidence{}
 	for _, second := range slices.Backward(seconds) {
-		sum.add(r.to[second], expectedCounts(r.baselineInSecond(second), overall))
+		sum.add(r.to[second], r.baselineInSecond(second, overall))
 		if reason, evidence := sum.strongest(); evidence > worst.evidence {
 			worst.reason, worst.evidence = "route "+name+" "+reason, evidence
 		}
@@ -48,31 +48,27 @@
 	return worst
 }
 
-// baselineInSecond returns the stable version's counts that a second of the new version is compared with. The control group
-// gets calls in the same bursts as the new version, but may be small. So the rates of the stable version's calls in this
-// second and the ones before and after replace lower ones, since a disturbance may begin or end within a second.
-func (r *routeView) baselineInSecond(second int64) counts {
+// baselineInSecond returns the stable version's counts that a second of the new version is compared with: those of the same
+// second, or the overall ones if it had too few calls then. The control group gets calls in the same bursts as the new
+// version, but may be small. So the rates of the stable version's calls in this second and the ones before and after replace
+// lower ones, since a disturbance may begin or end within a second.
+func (r *routeView) baselineInSecond(second int64, overall counts) counts {
 	baseline := r.from[second]
 	if control := r.control[second]; control.calls >= minSecondCalls {
 		baseline = control.withPessimisticRates()
 	}
+	if baseline.calls < minSecondCalls {
+		baseline = overall
+	}
 	for s := second - 1; s <= second+1; s++ {
 		if neighbour := r.from[s]; neighbour.calls >= minSecondCalls {
 			baseline = baseline.withWorseRates(neighbour)
 		}
 	}
+	baseline.baselineCalls = overall.calls
 	return baseline
 }
 
-// expectedCounts returns the stable version's counts in a second, or its overall counts if it had too few calls then.
-func expectedCounts(second, overall counts) counts {
-	if second.calls < minSecondCalls {
-		return overall
-	}
-	second.baselineCalls = overall.calls
-	return second
-}
-
 // faultEvidence is the evidence for each kind of fault, as log-likelihood ratios in nats.
 type faultEvidence struct {
 	failing     float64
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -24,6 +24,9 @@
 	minRouteCalls = 3
 	// widenFactor is the factor by which a share grows when a step has too few calls.
 	widenFactor = 2
+	// undecidedSharePermille is the least share of a version on which the evidence is undecided; at the shares below it a
+	// verdict on a fault of one call in ten takes longer than 2 s at some hundred calls per second.
+	undecidedSharePermille = 50
 )
 
 // decision holds what a decider knows of a move when it decides on the next step.
@@ -65,10 +68,14 @@
 		d.openFirstShare(record)
 		return
 	}
+	f := d.view.worstFinding(d.baselines)
+	if f.evidence >= holdThreshold {
+		d.widenUndecidedShare(record)
+	}
 	if d.stepUnfinished(record) {
 		return
 	}
-	if f := d.view.worstFinding(d.baselines); f.evidence >= holdThreshold {
+	if f.evidence >= holdThreshold {
 		record.Reason = "waits because " + f.reason
 		return
 	}
@@ -91,7 +98,7 @@
 		return
 	}
 	stepTime := NewPlan(record).StepDuration(0, d.now)
-	d.enterStep(record, 0, firstSharePermille(record.GetStepCalls(), d.view.peakCallsPerSecond(), stepTime))
+	d.enterStep(record, 0, firstSharePermille(record.GetStepCalls(), d.view, stepTime))
 }
 
 func (d decision) enterStep(record *wirepb.MoveRecord, step, share uint32) {
@@ -136,6 +143,13 @@
 	}
 }
 
+// widenUndecidedShare gives a suspected version more calls when its share is so small that the evidence would stay undecided
+// for longer than a bad version may get calls. It needs the same number of calls for a verdict at any share, so only the time
+// to the verdict changes.
+func (d decision) widenUndecidedShare(record *wirepb.MoveRecord) {
+	record.SharePermille = max(record.GetSharePermille(), undecidedSharePermille)
+}
+
 // isForcedAtDeadline reports whether the move takes its planned steps, up to the deadline, even if it has too few calls.
 func (d decision) isForcedAtDeadline(record *wirepb.MoveRecord) bool {
 	return record.GetAtDeadline() == wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -149,6 +149,17 @@
 	require.Less(t, found.evidence, rejectThreshold, found.reason)
 }
 
+// A fault of both versions that lasts into a second in which the stable version has hardly any calls yet, because a burst
+// opened it, is not counted against the new version.
+func TestFaultOfBothInSecondWithFewStableCalls(t *testing.T) {
+	r := newRouteView(
+		append(seconds(8, callCounts{calls: 40}), callCounts{calls: 40, failures: 24}, callCounts{calls: 40, failures: 24}, callCounts{calls: 2, failures: 1}),
+		append(seconds(8, callCounts{calls: 10}), callCounts{calls: 14, failures: 9}, callCounts{calls: 14, failures: 9}, callCounts{calls: 14, failures: 10}),
+	)
+	found := r.compareVersions("r", nil)
+	require.Less(t, found.evidence, rejectThreshold, found.reason)
+}
+
 func TestLocalAlarm(t *testing.T) {
 	baseline := &wirepb.RouteBaseline{Calls: 1000, Slow: durationpb.New(10 * time.Millisecond)}
 	tests := []struct {
@@ -204,6 +215,7 @@
 	enough := view{"r": newRouteView(seconds(10, callCounts{calls: 400}), seconds(10, callCounts{calls: 10}))}
 	little := view{"r": newRouteView(seconds(10, callCounts{calls: 1}), []callCounts{{calls: 1}})}
 	failing := view{"r": newRouteView(seconds(10, callCounts{calls: 100}), append(seconds(9, callCounts{calls: 10}), callCounts{calls: 4, failures: 1}))}
+	scarce := view{"r": enough["r"], "s": newRouteView(seconds(10, callCounts{calls: 10}), nil)}
 	disturbedAt := func(at time.Duration) view {
 		v := view{"r": newRouteView(nil, seconds(10, callCounts{calls: 10}))}
 		v["r"].from[declaredAt.Add(at).Unix()] = callCounts{calls: 20, slow: 12}.counts()
@@ -224,6 +236,8 @@
 		{"waits for the stable version's baseline", enough, 500 * time.Millisecond, 0, 0, hold, 3, 0, false},
 		{"opens the first share", enough, 2 * time.Second, 0, 0, hold, 3, stepSharesPermille[0], false},
 		{"raises the first share when there is little traffic", little, 2 * time.Second, 0, 0, hold, 3, maxFirstSharePermille, false},
+		{"raises the first share for a route with little traffic", scarce, 2 * time.Second, 0, 0, hold, 3, 28, false},
+		{"widens a small share when the evidence is undecided", failing, 3 * time.Second, 0, 12, hold, 3, undecidedSharePermille, false},
 		{"opens nothing without upstreams", enough, 2 * time.Second, 0, 0, hold, 0, 0, false},
 		{"stays in a step that has not ended", enough, 3 * time.Second, 0, 10, hold, 3, 10, false},
 		{"takes the next step", enough, 20 * time.Second, 0, 10, hold, 3, 50, false},
--- a/internal/move/plan.go
+++ b/internal/move/plan.go
@@ -67,12 +67,24 @@
 	return now.Add(time.Duration(left) * minStepDuration).After(record.GetDeadline().AsTime())
 }
 
-// firstSharePermille returns the share of the first step, raised if the traffic would give the step too few calls.
-func firstSharePermille(stepCalls uint32, callsPerSecond float64, stepDuration time.Duration) uint32 {
+// firstSharePermille returns the share of the first step, raised if the traffic would give the step too few calls. A scarce
+// route raises it to the share of the second step at most.
+func firstSharePermille(stepCalls uint32, current view, stepDuration time.Duration) uint32 {
+	share := sharePermilleFor(float64(stepCalls), current.peakCallsPerSecond(), stepDuration, maxFirstSharePermille)
+	for _, r := range current {
+		if rate := r.callsPerSecond(); rate > 0 {
+			share = max(share, sharePermilleFor(minRouteCalls, rate, stepDuration, stepSharesPermille[1]))
+		}
+	}
+	return share
+}
+
+// sharePermilleFor returns the share, up to a maximum, that gives the new version enough calls in a step.
+func sharePermilleFor(stepCalls, callsPerSecond float64, stepDuration time.Duration, maxPermille uint32) uint32 {
 	expected := callsPerSecond * stepDuration.Seconds()
 	if expected <= 0 {
 		return stepSharesPermille[0]
 	}
-	needed := uint32(min(firstShareFactor*float64(stepCalls)/expected*fullSharePermille, maxFirstSharePermille))
+	needed := uint32(min(firstShareFactor*stepCalls/expected*fullSharePermille, float64(maxPermille)))
 	return max(stepSharesPermille[0], needed)
 }
--- a/internal/move/view.go
+++ b/internal/move/view.go
@@ -107,6 +107,14 @@
 	return busiest
 }
 
+// callsPerSecond returns the route's calls per second over the seconds that had any.
+func (r *routeView) callsPerSecond() float64 {
+	if len(r.from) == 0 {
+		return 0
+	}
+	return r.from.sum().calls / float64(len(r.from))
+}
+
 // newCallsSince returns the number of the new version's calls since its total was start.
 func (r *routeView) newCallsSince(start uint64) uint64 {
 	if r.newTotalCalls < start {
