Keep the retry budget of the whole deployment

All servers of that service shed half of their calls; the calls of the service before it failed, were retried, and each retry made its two calls again. Those count as repeats where they arrive, and no node counted them. Ruled out: clients' own retries (not counted), refusals before a server (do not arrive). Change: a call says whether it or the call that made it was sent before; the node of an upstream knows that of the calls that run and marks the upstream's own calls in that proportion, since nothing on the wire links them. Marked calls and fallbacks from a new version are taken off the budget. The slack is a setting of the whole deployment and is divided by the number of nodes. A failure that came from a failed call of the upstream is not retried: the retry would make all its calls again.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -42,6 +42,7 @@
 	minAnnounceInterval = 100 * time.Millisecond
 	maxAnnounceInterval = time.Minute
 	maxRetryReserve     = 10_000
+	maxRetrySlack       = 1_000_000
 	minMemoryBytes      = 16 << 20
 	maxMemoryBytes      = 1 << 40
 )
@@ -109,8 +110,10 @@
 	Service          string
 	RetryRatio       float64
 	RetryReserve     int
-	MemoryBytes      int64
-	LeaveTime        time.Duration
+	// RetrySlack is 0 if only RetryReserve bounds the retries beyond RetryRatio.
+	RetrySlack  int
+	MemoryBytes int64
+	LeaveTime   time.Duration
 }
 
 // Equal reports whether both settings are the same.
@@ -197,6 +200,7 @@
 		Service:          s.GetService(),
 		RetryRatio:       c.ratio("retry_ratio", s.GetRetryRatio(), route.DefaultRetryRatio),
 		RetryReserve:     c.number("retry_reserve", uint64(s.GetRetryReserve()), route.DefaultRetryReserve, 1, maxRetryReserve),
+		RetrySlack:       c.number("retry_slack", uint64(s.GetRetrySlack()), 0, 1, maxRetrySlack),
 		LeaveTime:        c.durationText("leave_time", s.GetLeaveTime(), defaultLeaveTime, 0, time.Minute),
 		MemoryBytes:      int64(c.number("memory_bytes", s.GetMemoryBytes(), 0, minMemoryBytes, maxMemoryBytes)),
 	}
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -58,13 +58,15 @@
 	if head.GetTimeLeft() != nil {
 		head.TimeLeft = durationpb.New(head.GetTimeLeft().AsDuration() - started.Sub(arrived))
 	}
-	sinceFirstCall := u.sinceFirstCall(started)
+	sinceFirstCall, endRun := u.sinceFirstCall(started), r.startRun(head.GetRepeated())
 	answer, result := u.forward(ctx, head, r.cfg.MaxBodyBytes)
+	endRun()
 	took := r.cfg.Now().Sub(started)
+	answer.DependencyFailed = result == ResultFailed && r.dependencyFailed(u.service, started)
 	u.limiter.Release(admission, took)
 	switch {
 	case result != ResultFailed:
-	case answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && r.isSuspect(u), r.dependencyFailed(u.service, started):
+	case answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN && r.isSuspect(u), answer.GetDependencyFailed():
 		result = ResultInconclusive
 	case answer.GetStatus() == http.StatusGatewayTimeout && took+deadlineGraceDuration >= head.GetTimeLeft().AsDuration():
 		// The upstream used up the time that it was given: only its latency counts, not the failure.
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -177,6 +178,27 @@
 	}
 }
 
+// The calls that an upstream makes count as repeated in the proportion of those that it runs.
+func TestRepeatedFraction(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, serve(t, func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-finish
+	}))
+	require.Zero(t, f.RepeatedFraction())
+	var calls sync.WaitGroup
+	for _, repeated := range []bool{true, false} {
+		head := newHead()
+		head.Repeated = repeated
+		calls.Go(func() { f.Call(t.Context(), head) })
+		<-running
+	}
+	require.InDelta(t, 0.5, f.RepeatedFraction(), 0)
+	close(finish)
+	calls.Wait()
+	require.Zero(t, f.RepeatedFraction())
+}
+
 func TestAnnouncements(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -105,6 +106,9 @@
 	deregistered map[string]time.Time
 	// outboundFailures holds when a call from this VM last failed, by the service that was called.
 	outboundFailures map[string]time.Time
+	// running and runningRepeated are the numbers of calls that the upstreams run, and of those among them that are repeated.
+	running         atomic.Int64
+	runningRepeated atomic.Int64
 }
 
 // New returns an empty registry.
@@ -308,6 +312,29 @@
 	return total
 }
 
+// RepeatedFraction returns the fraction of the running calls that are repeated, and so the likely one of the calls that the
+// upstreams make: nothing on the wire tells which of its calls an upstream makes for which one that it runs.
+func (r *Registry) RepeatedFraction() float64 {
+	running := r.running.Load()
+	if running == 0 {
+		return 0
+	}
+	return float64(r.runningRepeated.Load()) / float64(running)
+}
+
+// startRun counts a call as running until the returned function is called.
+func (r *Registry) startRun(repeated bool) func() {
+	r.running.Add(1)
+	if !repeated {
+		return func() { r.running.Add(-1) }
+	}
+	r.runningRepeated.Add(1)
+	return func() {
+		r.running.Add(-1)
+		r.runningRepeated.Add(-1)
+	}
+}
+
 // Services returns the services with a local upstream that has not left.
 func (r *Registry) Services() map[string]bool {
 	r.mu.Lock()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -174,12 +174,14 @@
 }
 
 func newProxy(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
-	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource,
+	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table,
 ) *route.Proxy {
 	return route.New(route.Config{
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
-		RetryBudget: route.RetryBudgetConfig{Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve)},
-		Picker:      picker, Pool: pool, Local: localRegistry, Claims: claims,
+		RetryBudget: route.RetryBudgetConfig{
+			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: float64(s.RetrySlack), CountNodes: members.LiveCount, Now: now,
+		},
+		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims,
 		Observe: metrics.ObserveCall, OnInvalidRequest: func() { metrics.CountInvalidInput("caller") }, OnRetry: metrics.CountRetry,
 		Stopping: func() bool { return status.node.stopping.Load() },
 	})
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -26,6 +26,9 @@
 // run sends a call to upstreams until one answers or no further try is allowed.
 func (p *Proxy) run(ctx context.Context, c *call) *wirepb.AnswerHead {
 	p.retryBudget.deposit(c.service.Name)
+	if c.head.GetRepeated() {
+		p.retryBudget.charge(c.service.Name)
+	}
 	group := p.assignGroup(c)
 	toNew := group == move.GroupNew
 	c.head.Control = group == move.GroupControl
@@ -44,6 +47,7 @@
 		}
 		if answer.GetArrived() || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
 			arrived++
+			c.head.Repeated = true
 		}
 		refused = refusalToReport(refused, answer)
 		// When a retry is refused, an earlier try may still have run.
@@ -123,24 +127,32 @@
 }
 
 // allowRetry reports whether a call may be sent to another upstream: if it has certainly not run, or if it is idempotent and
-// failed. Failures are retried by the outermost of nested calls only, so that retries do not multiply with the depth. The
-// first retry after an attempt at the new version is exempt from this and from the retry budget; calls that did not reach an
-// upstream are exempt from the budget, too.
+// failed. Failures are retried by the outermost of nested calls only, so that retries do not multiply with the depth. A failure
+// that came from a failed call of the upstream is not retried: that call has been retried already, and another upstream would
+// have to make all of them again. The first retry after an attempt at the new version is exempt from this and charged to the
+// retry budget in any case; calls that did not reach an upstream are exempt from the budget.
 func (p *Proxy) allowRetry(c *call, answer *wirepb.AnswerHead, toNew bool) bool {
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && !answer.GetArrived() {
+		return true
+	}
 	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
-		return c.takeFallback(toNew) || !answer.GetArrived() || p.retryBudget.withdraw(c.service.Name)
+		return p.takeFallback(c, toNew) || p.retryBudget.withdraw(c.service.Name)
 	}
 	failed := answer.GetOutcome() == wirepb.Outcome_OUTCOME_UNKNOWN || answer.GetStatus() >= http.StatusInternalServerError
 	if !failed || !c.route.Idempotent {
 		return false
 	}
-	return c.takeFallback(toNew) || c.depth == 0 && p.retryBudget.withdraw(c.service.Name)
+	dependencyFailed := answer.GetOutcome() == wirepb.Outcome_OUTCOME_ANSWERED && answer.GetDependencyFailed()
+	return p.takeFallback(c, toNew) || c.depth == 0 && !dependencyFailed && p.retryBudget.withdraw(c.service.Name)
 }
 
-// takeFallback allows one retry outside the retry budget for a call that was sent to the new version.
-func (c *call) takeFallback(toNew bool) bool {
+// takeFallback allows one retry, whatever the retry budget holds, for a call that was sent to the new version.
+func (p *Proxy) takeFallback(c *call, toNew bool) bool {
 	first := toNew && !c.fallbackUsed
 	c.fallbackUsed = c.fallbackUsed || toNew
+	if first {
+		p.retryBudget.charge(c.service.Name)
+	}
 	return first
 }
 
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -206,6 +206,7 @@
 			CallId: id, Service: service.Name, Route: route.Name, Class: route.Class, Priority: route.Priority,
 			Method: r.Method, Target: []byte(requestTarget(r)), Host: []byte(r.Host),
 			Headers: p.forwardedHeaders(r.Header, depth), Body: body, Idempotent: route.Idempotent, Origin: p.cfg.Service,
+			Repeated: rand.Float64() < p.cfg.Local.RepeatedFraction(),
 		},
 	}, nil
 }
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -152,6 +152,51 @@
 	})
 }
 
+// A failure that came from a failed call of the upstream is not retried: in the shed of a service that others call, each such
+// retry would add calls to it.
+func TestFailureOfDependencyIsNotRetried(t *testing.T) {
+	tests := []struct {
+		name             string
+		dependencyFailed bool
+		wantRepeated     []bool
+	}{
+		{"upstream failed", false, []bool{false, true}},
+		{"a call of the upstream failed", true, []bool{false}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t)
+			repeated := make(chan bool, 2)
+			f.members.UpdateSelf(func(own *wirepb.MemberRecord) { own.Upstreams = nil })
+			for _, name := range []string{"b", "c"} {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				server := peer.NewServer(peer.ServerConfig{
+					Listener: listener, MaxHeadBytes: 1 << 16,
+					ServeCall: func(_ context.Context, conn net.Conn, head *wirepb.CallHead) {
+						repeated <- head.GetRepeated()
+						_ = frame.Write(conn, &wirepb.AnswerHead{
+							CallId: head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: http.StatusInternalServerError,
+							Arrived: true, DependencyFailed: tt.dependencyFailed,
+						})
+					},
+				})
+				go func() { _ = server.Serve(t.Context()) }()
+				record := memberRecord(name)
+				record.PeerAddress = listener.Addr().String()
+				f.members.Merge([]*wirepb.MemberRecord{record})
+			}
+			f.send("/read", "")
+			close(repeated)
+			var got []bool
+			for r := range repeated {
+				got = append(got, r)
+			}
+			require.Equal(t, tt.wantRepeated, got)
+		})
+	}
+}
+
 // An answer with the id of another call must not reach the caller: the outcome of the call is unknown.
 func TestAnswerOfAnotherCallIsNotDelivered(t *testing.T) {
 	f := newFixture(t)
