Serve downloads, and admit them by what the link of the VM carries

Requests of the kind download, 90 KB in the mean, 181 a second, were taken for not repeatable, and six VMs with links of 14 Mbit/s were given 130 Mbit/s of them. The links queued without bound, so that beats, configuration, inner calls and acknowledgements behind them timed out; calls then crossed zones. A new module, egress, knows the rate of the link from the settings: a call is refused before it runs if its response, behind those of the calls already admitted, would not be sent by the time it is due; large responses go out one after the other at 0.85 of the rate, in pieces, so that small messages pass. Responses to other data centres get a quarter of the time, so that calls from the own one find room. What binds downloads now is the link: 0.85 x 84 Mbit/s are 99 bodies of 90 KB a second. Not done: a bound on all bodies that a node holds at once.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -43,6 +43,9 @@
 	maxAnnounceInterval = time.Minute
 	maxRetryReserve     = 10_000
 	maxRetrySlack       = 1_000_000
+	minLinkMbps         = 1
+	maxLinkMbps         = 1_000_000
+	bitsPerMegabit      = 1_000_000
 	minMemoryBytes      = 16 << 20
 	maxMemoryBytes      = 1 << 40
 )
@@ -114,6 +117,8 @@
 	RetrySlack  int
 	MemoryBytes int64
 	LeaveTime   time.Duration
+	// LinkBitsPerSecond is 0 if the link is not limited.
+	LinkBitsPerSecond float64
 }
 
 // Equal reports whether both settings are the same.
@@ -174,35 +179,36 @@
 
 func (c *checker) settings(s *wirepb.NodeSettings) *Settings {
 	return &Settings{
-		Name:             c.name("name", s.GetName()),
-		Region:           c.name("region", s.GetRegion()),
-		DataCentre:       c.name("data_centre", s.GetDataCentre()),
-		CallerAddress:    c.address("caller_address", s.GetCallerAddress()),
-		PeerAddress:      c.address("peer_address", s.GetPeerAddress()),
-		AdminAddress:     c.address("admin_address", s.GetAdminAddress()),
-		AnnounceAddress:  c.address("announce_address", s.GetAnnounceAddress()),
-		PlatformAddress:  c.address("platform_address", s.GetPlatformAddress()),
-		AdminTokenSHA256: c.hash("admin_token_sha256", s.GetAdminTokenSha256()),
-		StopTimeout:      c.duration("stop_timeout", s.GetStopTimeout(), defaultStopTimeout, 0, maxStopTimeout),
-		MaxChildren:      c.number("max_children", uint64(s.GetMaxChildren()), DefaultMaxChildren, 2, 256),
-		SubsetSize:       c.number("subset_size", uint64(s.GetSubsetSize()), defaultSubsetSize, 1, 64),
-		QueueFactor:      c.number("queue_factor", uint64(s.GetQueueFactor()), defaultQueueFactor, 1, 16),
-		MaxBodyBytes:     int64(c.number("max_body_bytes", s.GetMaxBodyBytes(), defaultMaxBodyBytes, 1, maxBodyBytes)),
-		MovePolicy:       c.oneOf("move_policy", s.GetMovePolicy(), "evidence", "clock"),
-		PickPolicy:       c.oneOf("pick_policy", s.GetPickPolicy(), "least_loaded", "round_robin"),
-		PollInterval:     c.duration("poll_interval", s.GetPollInterval(), defaultPollInterval, minPollInterval, maxPollInterval),
-		Seeds:            c.seeds(s.GetSeeds()),
-		Processors:       c.number("processors", uint64(s.GetProcessors()), defaultProcessors, 1, 256),
-		ReadyAddress:     c.optionalAddress("ready_address", s.GetReadyAddress()),
-		Headers:          completeHeaders(s.GetHeaders()),
-		AnnounceInterval: c.durationText("announce_interval", s.GetAnnounceInterval(), local.DefaultAnnounceInterval, minAnnounceInterval, maxAnnounceInterval),
-		OperatorRows:     s.GetOperatorRows(),
-		Service:          s.GetService(),
-		RetryRatio:       c.ratio("retry_ratio", s.GetRetryRatio(), route.DefaultRetryRatio),
-		RetryReserve:     c.number("retry_reserve", uint64(s.GetRetryReserve()), route.DefaultRetryReserve, 1, maxRetryReserve),
-		RetrySlack:       c.number("retry_slack", uint64(s.GetRetrySlack()), 0, 1, maxRetrySlack),
-		LeaveTime:        c.durationText("leave_time", s.GetLeaveTime(), defaultLeaveTime, 0, time.Minute),
-		MemoryBytes:      int64(c.number("memory_bytes", s.GetMemoryBytes(), 0, minMemoryBytes, maxMemoryBytes)),
+		Name:              c.name("name", s.GetName()),
+		Region:            c.name("region", s.GetRegion()),
+		DataCentre:        c.name("data_centre", s.GetDataCentre()),
+		CallerAddress:     c.address("caller_address", s.GetCallerAddress()),
+		PeerAddress:       c.address("peer_address", s.GetPeerAddress()),
+		AdminAddress:      c.address("admin_address", s.GetAdminAddress()),
+		AnnounceAddress:   c.address("announce_address", s.GetAnnounceAddress()),
+		PlatformAddress:   c.address("platform_address", s.GetPlatformAddress()),
+		AdminTokenSHA256:  c.hash("admin_token_sha256", s.GetAdminTokenSha256()),
+		StopTimeout:       c.duration("stop_timeout", s.GetStopTimeout(), defaultStopTimeout, 0, maxStopTimeout),
+		MaxChildren:       c.number("max_children", uint64(s.GetMaxChildren()), DefaultMaxChildren, 2, 256),
+		SubsetSize:        c.number("subset_size", uint64(s.GetSubsetSize()), defaultSubsetSize, 1, 64),
+		QueueFactor:       c.number("queue_factor", uint64(s.GetQueueFactor()), defaultQueueFactor, 1, 16),
+		MaxBodyBytes:      int64(c.number("max_body_bytes", s.GetMaxBodyBytes(), defaultMaxBodyBytes, 1, maxBodyBytes)),
+		MovePolicy:        c.oneOf("move_policy", s.GetMovePolicy(), "evidence", "clock"),
+		PickPolicy:        c.oneOf("pick_policy", s.GetPickPolicy(), "least_loaded", "round_robin"),
+		PollInterval:      c.duration("poll_interval", s.GetPollInterval(), defaultPollInterval, minPollInterval, maxPollInterval),
+		Seeds:             c.seeds(s.GetSeeds()),
+		Processors:        c.number("processors", uint64(s.GetProcessors()), defaultProcessors, 1, 256),
+		ReadyAddress:      c.optionalAddress("ready_address", s.GetReadyAddress()),
+		Headers:           completeHeaders(s.GetHeaders()),
+		AnnounceInterval:  c.durationText("announce_interval", s.GetAnnounceInterval(), local.DefaultAnnounceInterval, minAnnounceInterval, maxAnnounceInterval),
+		OperatorRows:      s.GetOperatorRows(),
+		Service:           s.GetService(),
+		RetryRatio:        c.ratio("retry_ratio", s.GetRetryRatio(), route.DefaultRetryRatio),
+		RetryReserve:      c.number("retry_reserve", uint64(s.GetRetryReserve()), route.DefaultRetryReserve, 1, maxRetryReserve),
+		RetrySlack:        c.number("retry_slack", uint64(s.GetRetrySlack()), 0, 1, maxRetrySlack),
+		LeaveTime:         c.durationText("leave_time", s.GetLeaveTime(), defaultLeaveTime, 0, time.Minute),
+		LinkBitsPerSecond: bitsPerMegabit * c.optionalFloat("link_mbps", s.GetLinkMbps(), minLinkMbps, maxLinkMbps),
+		MemoryBytes:       int64(c.number("memory_bytes", s.GetMemoryBytes(), 0, minMemoryBytes, maxMemoryBytes)),
 	}
 }
 
@@ -245,12 +251,20 @@
 	if value == 0 {
 		return fallback
 	}
-	if value < 0 || value > 1 {
+	if !(value > 0 && value <= 1) {
 		c.fail(field, strconv.FormatFloat(value, 'g', -1, 64), "above 0 and at most 1")
 	}
 	return value
 }
 
+// optionalFloat returns 0 for a number that is not set.
+func (c *checker) optionalFloat(field string, value, low, high float64) float64 {
+	if value != 0 && !(value >= low && value <= high) {
+		c.fail(field, strconv.FormatFloat(value, 'g', -1, 64), strconv.FormatFloat(low, 'f', -1, 64)+" to "+strconv.FormatFloat(high, 'f', -1, 64))
+	}
+	return value
+}
+
 func (c *checker) fail(field, value, allowed string) {
 	if c.failure == nil {
 		c.failure = &ValueError{File: c.file, Field: field, Value: value, Allowed: allowed}
--- /dev/null
+++ b/internal/egress/limiter_test.go
@@ -0,0 +1,147 @@
+package egress
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	narrowLink   = 14e6
+	averageBody  = 90_000
+	objective    = 800 * time.Millisecond
+	testDuration = 20 * time.Second
+)
+
+// linkLoad is a load of downloads on the link of one VM.
+type linkLoad struct {
+	perSecond      float64
+	foreignPercent int
+}
+
+// linkResult counts what became of the downloads and how long the link made small messages wait.
+type linkResult struct {
+	asked, inTime, late, refused int
+	served, foreignServed        int
+	worstBacklog                 time.Duration
+}
+
+// playLink plays a load in virtual time: a server runs each admitted call for some time, then the link sends the response. The
+// link sends in order of arrival whatever is written to it, as a real one does.
+func playLink(t *testing.T, load linkLoad, limiter func() *Limiter) linkResult {
+	t.Helper()
+	var result linkResult
+	synctest.Test(t, func(t *testing.T) {
+		l, random := limiter(), rand.New(rand.NewPCG(1, 2))
+		warm, _ := l.Reserve(Request{Route: "download", RespondBy: time.Now().Add(objective)})
+		require.NoError(t, warm.Send(t.Context(), averageBody))
+		var linkFreeAt time.Time
+		for start := time.Now(); time.Since(start) < testDuration; {
+			time.Sleep(time.Duration(random.ExpFloat64() / load.perSecond * float64(time.Second)))
+			dueAt, foreign := time.Now().Add(objective), random.IntN(100) < load.foreignPercent
+			result.asked++
+			reservation, admitted := l.Reserve(Request{Route: "download", RespondBy: dueAt, Foreign: foreign})
+			if !admitted {
+				result.refused++
+				continue
+			}
+			bytes := int(averageBody * (0.4 + 1.2*random.Float64()))
+			go func() {
+				time.Sleep(130 * time.Millisecond)
+				if reservation.Send(context.Background(), bytes) != nil {
+					return
+				}
+				if linkFreeAt.Before(time.Now()) {
+					linkFreeAt = time.Now()
+				}
+				linkFreeAt = linkFreeAt.Add(time.Duration(float64(bytes) * bitsPerByte / narrowLink * float64(time.Second)))
+				result.worstBacklog = max(result.worstBacklog, time.Until(linkFreeAt))
+				time.Sleep(time.Until(linkFreeAt))
+				result.served++
+				if foreign {
+					result.foreignServed++
+				}
+				if time.Now().After(dueAt) {
+					result.late++
+				} else {
+					result.inTime++
+				}
+			}()
+		}
+		time.Sleep(time.Minute)
+	})
+	t.Logf("%+v", result)
+	return result
+}
+
+func newLimited() *Limiter { return New(Config{BitsPerSecond: narrowLink, Now: time.Now}) }
+
+// Downloads of more bytes than the link carries: what it can carry is served in time, the rest is refused at once, and small
+// messages never wait for more than a response or two.
+func TestDownloadsBeyondTheLink(t *testing.T) {
+	const perSecondCarried = largeFraction * narrowLink / bitsPerByte / averageBody
+	tests := []struct {
+		name string
+		load linkLoad
+	}{
+		{"half of the link", linkLoad{perSecond: perSecondCarried / 2}},
+		{"one and a half times the link", linkLoad{perSecond: 1.5 * perSecondCarried}},
+		{"four times the link", linkLoad{perSecond: 4 * perSecondCarried}},
+		{"four times the link, half of it from other data centres", linkLoad{perSecond: 4 * perSecondCarried, foreignPercent: 50}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			result := playLink(t, tt.load, newLimited)
+			carried := min(tt.load.perSecond, perSecondCarried) * testDuration.Seconds()
+			require.GreaterOrEqual(t, float64(result.inTime), 0.9*carried)
+			require.LessOrEqual(t, float64(result.late), 0.05*carried)
+			// The largest body takes 82 ms.
+			require.Less(t, result.worstBacklog, 100*time.Millisecond)
+			require.LessOrEqual(t, float64(result.foreignServed), 0.1*carried)
+		})
+	}
+	t.Run("the link without a limiter collapses", func(t *testing.T) {
+		result := playLink(t, linkLoad{perSecond: 1.5 * perSecondCarried}, func() *Limiter { return New(Config{Now: time.Now}) })
+		require.Less(t, float64(result.inTime), 0.5*perSecondCarried*testDuration.Seconds())
+		require.Greater(t, result.worstBacklog, time.Second)
+	})
+}
+
+func TestReservations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newLearned := func() *Limiter {
+		l := New(Config{BitsPerSecond: narrowLink, Now: func() time.Time { return now }})
+		l.averageBytes["download"] = averageBody
+		return l
+	}
+	t.Run("a cancelled one leaves its room to others", func(t *testing.T) {
+		l := newLearned()
+		request := Request{Route: "download", RespondBy: now.Add(100 * time.Millisecond)}
+		first, admitted := l.Reserve(request)
+		require.True(t, admitted)
+		_, admitted = l.Reserve(request)
+		require.False(t, admitted)
+		first.Cancel()
+		first.Cancel()
+		_, admitted = l.Reserve(request)
+		require.True(t, admitted)
+	})
+	t.Run("routes with small responses are not limited", func(t *testing.T) {
+		l := newLearned()
+		_, admitted := l.Reserve(Request{Route: "lookup", RespondBy: now})
+		require.True(t, admitted)
+	})
+	t.Run("a response that waits ends with its context", func(t *testing.T) {
+		l := newLearned()
+		l.freeAt = now.Add(time.Hour)
+		r, admitted := l.Reserve(Request{Route: "lookup"})
+		require.True(t, admitted)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		require.ErrorIs(t, r.Send(ctx, averageBody), context.Canceled)
+	})
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -33,7 +33,11 @@
 // Unwrap returns the cause.
 func (e *EncodeError) Unwrap() error { return e.Cause }
 
-// Write encodes a message and sends it in a single write; it returns *EncodeError or the writer's error.
+// maxWriteBytes is the size of the pieces of a large message. A stream of a session sends one piece at a time, so that messages
+// of other streams do not wait for the whole of it.
+const maxWriteBytes = 16 << 10
+
+// Write encodes a message and sends it, in a single write unless it is large; it returns *EncodeError or the writer's error.
 func Write(w io.Writer, message proto.Message) error {
 	options := proto.MarshalOptions{}
 	size := options.Size(message)
@@ -43,8 +47,14 @@
 	if err != nil {
 		return &EncodeError{Message: messageName(message), Cause: err}
 	}
-	_, err = w.Write(buffer)
-	return errors.Wrap(err, "write message")
+	for len(buffer) > 0 {
+		piece := buffer[:min(len(buffer), maxWriteBytes)]
+		if _, err := w.Write(piece); err != nil {
+			return errors.Wrap(err, "write message")
+		}
+		buffer = buffer[len(piece):]
+	}
+	return nil
 }
 
 // Read receives one message of at most limit bytes; it returns io.EOF if the stream ends between messages, or *ReadError.
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -102,16 +102,30 @@
 	return false
 }
 
+// RespondBy returns when the response to a call that arrived at a time is due: at the end of its latency objective or, past it,
+// of a part of the time left; it is the zero value for a call without a limit.
+func RespondBy(head *wirepb.CallHead, arrived time.Time) time.Time {
+	objectiveLeft, timeLeft := head.GetObjectiveLeft(), head.GetTimeLeft()
+	switch {
+	case timeLeft == nil:
+		return time.Time{}
+	case objectiveLeft == nil || objectiveLeft.AsDuration() >= timeLeft.AsDuration():
+		return arrived.Add(timeLeft.AsDuration())
+	case objectiveLeft.AsDuration() <= 0:
+		return arrived.Add(timeLeft.AsDuration() / pastObjectiveDivisor)
+	default:
+		return arrived.Add(objectiveLeft.AsDuration())
+	}
+}
+
 // newAdmitRequest returns the admission request of a call; a call past its objective may use only part of its time left.
 func newAdmitRequest(head *wirepb.CallHead, arrived time.Time) admit.Request {
 	admission := admit.Request{Class: head.GetClass()}
 	objectiveLeft, timeLeft := head.GetObjectiveLeft(), head.GetTimeLeft()
 	switch {
 	case objectiveLeft == nil || timeLeft == nil || objectiveLeft.AsDuration() >= timeLeft.AsDuration():
-	case objectiveLeft.AsDuration() <= 0:
-		admission.PastObjective, admission.RespondBy = true, arrived.Add(timeLeft.AsDuration()/pastObjectiveDivisor)
 	default:
-		admission.RespondBy = arrived.Add(objectiveLeft.AsDuration())
+		admission.PastObjective, admission.RespondBy = objectiveLeft.AsDuration() <= 0, RespondBy(head, arrived)
 	}
 	return admission
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdale/turmericdale/internal/admin"
 	"github.com/turmericdale/turmericdale/internal/claim"
 	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/egress"
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/logs"
@@ -40,7 +41,7 @@
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
 		newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newLocalRegistry, newHub,
-		newPicker, newClaims, newImporter, newProxy, newStatusSource, newAdmin, newNode,
+		newPicker, newEgress, newClaims, newImporter, newProxy, newStatusSource, newAdmin, newNode,
 	}
 	for _, c := range constructors {
 		if err := container.Provide(c); err != nil {
@@ -169,6 +170,10 @@
 	})
 }
 
+func newEgress(s *conf.Settings, now clock) *egress.Limiter {
+	return egress.New(egress.Config{BitsPerSecond: s.LinkBitsPerSecond, Now: now})
+}
+
 func newClaims(client *store.Client, now clock) *claim.Registry {
 	return claim.New(claim.Config{Store: client, Now: now})
 }
@@ -199,7 +204,7 @@
 	n := &Node{
 		serving:  make(chan struct{}),
 		settings: deps.Settings, logger: deps.Logger, now: deps.Now, store: deps.Store, log: deps.Log, members: deps.Members,
-		verdicts: deps.Verdicts, pool: deps.Pool, moveController: deps.MoveController, localRegistry: deps.LocalRegistry, hub: deps.Hub, picker: deps.Picker,
+		verdicts: deps.Verdicts, pool: deps.Pool, moveController: deps.MoveController, localRegistry: deps.LocalRegistry, hub: deps.Hub, picker: deps.Picker, egress: deps.Egress,
 		importer: deps.Importer, claims: deps.Claims, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
 	}
 	deps.Status.node = n
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/turmericdale/turmericdale/internal/admin"
 	"github.com/turmericdale/turmericdale/internal/claim"
 	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/egress"
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/front"
 	"github.com/turmericdale/turmericdale/internal/local"
@@ -60,6 +61,7 @@
 	LocalRegistry  *local.Registry
 	Hub            *relay.Hub
 	Picker         *route.Picker
+	Egress         *egress.Limiter
 	Claims         *claim.Registry
 	Importer       *source.Importer
 	Proxy          *route.Proxy
@@ -82,6 +84,7 @@
 	localRegistry  *local.Registry
 	hub            *relay.Hub
 	picker         *route.Picker
+	egress         *egress.Limiter
 	claims         *claim.Registry
 	importer       *source.Importer
 	proxy          *route.Proxy
@@ -128,12 +131,33 @@
 }
 
 // serveCall runs a call from another node on a local upstream. A refusal because the version was taken back carries the
-// verdicts on the service.
+// verdicts on the service. A call whose response the VM's link cannot send in time is refused before it runs.
 func (n *Node) serveCall(ctx context.Context, conn net.Conn, head *wirepb.CallHead) {
+	reservation, admitted := n.egress.Reserve(egress.Request{
+		Route: head.GetRoute(), RespondBy: local.RespondBy(head, n.now()), Foreign: head.GetForeign(),
+	})
+	if !admitted {
+		n.logger.Info("call refused: link is busy", zap.String("id", head.GetCallId()), zap.String("route", head.GetRoute()),
+			zap.Bool("foreign", head.GetForeign()), zap.Duration("backlog", n.egress.Backlog()))
+		n.writeAnswer(conn, &wirepb.AnswerHead{
+			CallId: head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_OVERLOADED,
+		})
+		return
+	}
 	answer := n.localRegistry.Call(ctx, head)
+	if answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED {
+		reservation.Cancel()
+	} else if reservation.Send(ctx, len(answer.GetBody())) != nil {
+		// The caller is gone.
+		return
+	}
 	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_WITHDRAWN {
 		answer.Verdicts = n.verdicts.List(head.GetService())
 	}
+	n.writeAnswer(conn, answer)
+}
+
+func (n *Node) writeAnswer(conn net.Conn, answer *wirepb.AnswerHead) {
 	_ = conn.SetWriteDeadline(time.Now().Add(headerTimeout))
 	_ = frame.Write(conn, answer)
 }
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -174,6 +174,7 @@
 	if chosen.upstream.Node == p.cfg.Node {
 		return p.cfg.Local.Call(ctx, c.head), nil
 	}
+	c.head.Foreign = p.cfg.Picker.isForeign(chosen.upstream)
 	return p.callRemote(ctx, chosen, c.head)
 }
 
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -267,6 +267,9 @@
 	return s
 }
 
+// isForeign reports whether an upstream is in another data centre.
+func (p *Picker) isForeign(u *member.Upstream) bool { return u.DataCentre != p.cfg.DataCentre }
+
 // tier is 0 for upstreams of the same data centre, 1 for the same region, 2 for others.
 func (p *Picker) tier(u *member.Upstream) int {
 	switch {
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -199,11 +199,15 @@
 
 func (i *Importer) buildFunc(row *wirepb.Row) (oplog.BuildFunc, error) {
 	if platform.IsConfig(row) {
-		values, err := platform.DecodeConfig(row)
+		config, err := platform.DecodeConfig(row)
 		if err != nil {
 			return nil, err
 		}
-		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, values) }, nil
+		for _, unknown := range config.UnknownKinds {
+			i.cfg.OnInvalidRow()
+			i.cfg.Logger.Warn("unknown kind of route: its calls are not repeated", zap.Uint64("row_version", row.GetVersion()), zap.Error(unknown))
+		}
+		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config.Values) }, nil
 	}
 	order, err := platform.DecodeMoveOrder(row)
 	if err != nil {
