Avoid upstreams that shed or fail while others do not

Cause: an upstream that failed or shed part of its calls quickly looked fast, and the nearest one was taken whenever it had a free slot, so its share of the calls did not fall. Ruled out: ejecting it (the others may have no room; a share of its answers is good). Change: a moving average of each upstream's own faults: sheds, 5xx and lost answers, but not refusals of its node, failures of services that it calls and calls given up. Calls avoid an upstream whose rate is 0.2 above the lowest, but for one in ten; where all fail alike nothing changes. The cost by which two are compared grows with the tries that a call needs.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -164,7 +164,10 @@
 	defer end()
 	answer, err := p.dispatch(ctx, c, chosen)
 	took := p.cfg.Now().Sub(started)
-	p.cfg.Picker.recordResult(chosen, answer, took, err != nil && ctx.Err() == nil)
+	p.cfg.Picker.recordResult(chosen, tryResult{
+		answer: answer, took: took, transportFailed: err != nil && ctx.Err() == nil,
+		abandoned: errors.Is(context.Cause(ctx), context.Canceled),
+	})
 	p.logAttempt(c, chosen, answer, took)
 	return answer
 }
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"sort"
 	"sync"
@@ -33,7 +34,14 @@
 	maxEjectionDuration     = 10 * time.Second
 	leavingEjectionDuration = time.Second
 	unknownsBeforeEjection  = 3
-	refreshInterval         = 10 * time.Second
+
+	faultRateWeight = 0.1
+	// faultRateMargin is how far the fault rate of an upstream may lie above the lowest one before calls avoid it.
+	faultRateMargin = 0.2
+	// probeFraction is the fraction of its calls that an avoided upstream still gets, to notice when its fault ends.
+	probeFraction    = 0.1
+	maxCostFaultRate = 0.9
+	refreshInterval  = 10 * time.Second
 )
 
 // PickerConfig configures a Picker.
@@ -103,6 +111,8 @@
 	unknownsSinceAnswer int
 	ejections           int
 	ejectedUntil        time.Time
+	// faultRate is the moving average of the share of calls that failed or were shed by the upstream itself.
+	faultRate float64
 }
 
 // NewPicker returns a picker.
@@ -125,30 +135,47 @@
 	return chosen
 }
 
-// choose prefers the nearest tier that has an upstream with a free slot on a node that is not suspect, then any upstream that
-// is not ejected, then any.
+// choose prefers the nearest tier that has an upstream with a free slot, without a fault that others lack, on a node that is
+// not suspect; then any upstream that is not ejected, then any.
 func (p *Picker) choose(s *subset, tried map[*stats]bool) *candidate {
 	if p.cfg.Policy == PolicyRoundRobin {
 		return p.roundRobin(s, tried)
 	}
 	now := p.cfg.Now()
+	var all []*candidate
+	for _, tier := range s.tiers {
+		all = append(all, tier...)
+	}
+	tolerableFaultRate := lowestFaultRate(all, tried, now) + faultRateMargin
 	for _, tier := range s.tiers {
 		if c := leastLoadedOfTwo(filter(tier, func(c *candidate) bool {
-			return !tried[c.stats] && c.stats.isAvailable(now) && !c.isSaturated(now) && !p.isSuspect(c)
+			return !tried[c.stats] && c.stats.isAvailable(now) && !c.isSaturated(now) && !p.isSuspect(c) && c.stats.isSound(tolerableFaultRate)
 		})); c != nil {
 			return c
 		}
 	}
-	var all []*candidate
-	for _, tier := range s.tiers {
-		all = append(all, tier...)
-	}
 	if c := leastLoadedOfTwo(filter(all, func(c *candidate) bool { return !tried[c.stats] && c.stats.isAvailable(now) })); c != nil {
 		return c
 	}
 	return leastLoadedOfTwo(filter(all, func(c *candidate) bool { return !tried[c.stats] }))
 }
 
+// lowestFaultRate returns the lowest fault rate of the upstreams that may be picked.
+func lowestFaultRate(all []*candidate, tried map[*stats]bool, now time.Time) float64 {
+	lowest := 1.0
+	for _, c := range all {
+		if !tried[c.stats] && c.stats.isAvailable(now) {
+			lowest = min(lowest, c.stats.faultRate)
+		}
+	}
+	return lowest
+}
+
+// isSound reports whether an upstream's fault rate is tolerable, or whether the next call should probe it.
+func (s *stats) isSound(tolerable float64) bool {
+	return s.faultRate <= tolerable || rand.Float64() < probeFraction
+}
+
 func (p *Picker) isSuspect(c *candidate) bool {
 	return c.upstream.Node != p.cfg.Node && p.cfg.IsSuspect(c.upstream.PeerAddress)
 }
@@ -209,10 +236,12 @@
 	return list[i]
 }
 
-// cost grows with the calls in flight and their latency; the calls per slot decide while no latency is known.
+// cost grows with the calls in flight and their latency, and with the tries that a call needs; the calls per slot decide while
+// no latency is known.
 func (c *candidate) cost() time.Duration {
 	perSlot := time.Duration(c.stats.inFlight+1) * time.Millisecond / time.Duration(max(c.upstream.Slots, 1))
-	return perSlot + c.stats.latency*time.Duration(c.stats.inFlight+1)
+	once := perSlot + c.stats.latency*time.Duration(c.stats.inFlight+1)
+	return time.Duration(float64(once) / (1 - min(c.stats.faultRate, maxCostFaultRate)))
 }
 
 func (s *stats) isAvailable(now time.Time) bool { return !now.Before(s.ejectedUntil) }
@@ -300,26 +329,52 @@
 	return list
 }
 
+// tryResult is what became of sending a call to an upstream.
+type tryResult struct {
+	answer *wirepb.AnswerHead
+	took   time.Duration
+	// transportFailed means that the connection to the upstream's node failed.
+	transportFailed bool
+	// abandoned means that the caller gave the call up.
+	abandoned bool
+}
+
 // recordResult updates the upstream's statistics with the result of a call.
-func (p *Picker) recordResult(c *candidate, answer *wirepb.AnswerHead, took time.Duration, transportFailed bool) {
+func (p *Picker) recordResult(c *candidate, result tryResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, now := c.stats, p.cfg.Now()
+	s, now, answer := c.stats, p.cfg.Now(), result.answer
 	s.inFlight--
+	if !result.abandoned {
+		s.recordFault(answer)
+	}
 	switch answer.GetOutcome() {
 	case wirepb.Outcome_OUTCOME_ANSWERED:
 		s.unknownsSinceAnswer, s.ejections = 0, 0
-		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+		s.latency += time.Duration(latencyWeight * float64(result.took-s.latency))
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
 		s.recordRefusal(answer.GetRefusal(), now)
 	default:
 		s.unknownsSinceAnswer++
-		if transportFailed || s.unknownsSinceAnswer >= unknownsBeforeEjection {
+		if result.transportFailed || s.unknownsSinceAnswer >= unknownsBeforeEjection {
 			s.eject(now)
 		}
 	}
 }
 
+// recordFault updates the fault rate. Refusals of the upstream's node and failures of services that the upstream calls say
+// nothing about the upstream.
+func (s *stats) recordFault(answer *wirepb.AnswerHead) {
+	fault := 0.0
+	switch {
+	case answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && !answer.GetArrived(), answer.GetDependencyFailed():
+		return
+	case answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED, answer.GetStatus() >= http.StatusInternalServerError:
+		fault = 1
+	}
+	s.faultRate += faultRateWeight * (fault - s.faultRate)
+}
+
 func (s *stats) recordRefusal(refusal wirepb.Refusal, now time.Time) {
 	switch refusal {
 	case wirepb.Refusal_REFUSAL_UNREACHABLE:
--- a/internal/route/pick_test.go
+++ b/internal/route/pick_test.go
@@ -46,7 +46,7 @@
 	t.Run("an unreachable upstream is ejected and tried again later", func(t *testing.T) {
 		p := newPicker(upstreams("r-1", "r-2"), &now)
 		c := p.pick(subsetKey{service: "shop", version: "v1"}, nil)
-		p.recordResult(c, &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_UNREACHABLE}, 0, true)
+		p.recordResult(c, tryResult{answer: &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_UNREACHABLE}, transportFailed: true})
 		require.Equal(t, "r-2", pickCentre(p))
 		now = now.Add(maxEjectionDuration)
 		require.Equal(t, "r-1", pickCentre(p))
@@ -63,7 +63,7 @@
 	t.Run("the last upstream is used even when it is ejected", func(t *testing.T) {
 		p := newPicker(upstreams("r-1"), &now)
 		c := p.pick(subsetKey{service: "shop", version: "v1"}, nil)
-		p.recordResult(c, &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}, 0, true)
+		p.recordResult(c, tryResult{answer: &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}, transportFailed: true})
 		require.NotNil(t, p.pick(subsetKey{service: "shop", version: "v1"}, nil))
 	})
 	t.Run("a tried upstream is not picked again", func(t *testing.T) {
@@ -80,3 +80,52 @@
 		require.Len(t, seen, 4)
 	})
 }
+
+// While some upstreams of a service shed or fail part of their calls, the others get the calls; if all do, calls stay near, since
+// there is nothing to gain elsewhere.
+func TestPickAvoidsFaultyUpstreams(t *testing.T) {
+	shed := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_OVERLOADED, Arrived: true}
+	failed := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: 500, Arrived: true}
+	dependency := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: 500, Arrived: true, DependencyFailed: true}
+	unknown := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Arrived: true}
+	tests := []struct {
+		name string
+		// near and far are the results of every second call in the own data centre and in the other one; nil stands for good.
+		near, far *wirepb.AnswerHead
+		abandoned bool
+		most      float64
+		least     float64
+	}{
+		{"near ones shed", shed, nil, false, 0.2, 0},
+		{"near ones fail", failed, nil, false, 0.2, 0},
+		{"near ones do not answer", unknown, nil, false, 0.2, 0},
+		{"all shed", shed, shed, false, 1, 0.7},
+		{"services that the near ones call fail", dependency, nil, false, 1, 1},
+		{"callers give up", unknown, nil, true, 1, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Now()
+			p := newPicker(upstreams("r-1", "r-1", "r-2", "r-2"), &now)
+			const warmup, calls = 200, 2000
+			near := 0
+			for i := range warmup + calls {
+				now = now.Add(overloadTTL)
+				c := p.pick(subsetKey{service: "shop", version: "v1"}, nil)
+				result := tt.far
+				if c.upstream.DataCentre == "r-1" {
+					result = tt.near
+					if i >= warmup {
+						near++
+					}
+				}
+				if result == nil || i%2 == 0 {
+					result = &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Status: 200, Arrived: true}
+				}
+				p.recordResult(c, tryResult{answer: result, took: time.Millisecond, abandoned: tt.abandoned})
+			}
+			require.LessOrEqual(t, float64(near)/calls, tt.most)
+			require.GreaterOrEqual(t, float64(near)/calls, tt.least)
+		})
+	}
+}
