Do not serve requests whose callers left before they were read

Ruled out: the reader that cancels running requests at the end of a connection (it comes after the handler has started), the deadline in the request (it counts from when the node reads it, and the wait in the socket is not known). Change: after a request was read, the node looks whether the connection is closed, and drops the request if so. The look at a connection without reading from it, which the connection pool to upstreams had, is a package of its own now, probe.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/turmericdale/turmericdale/internal/probe"
 )
 
 // conn is one connection of a caller: one goroutine reads requests, and one per request runs it and writes its response
@@ -132,6 +134,10 @@
 			return nil, err
 		}
 	}
+	if c.reader.Buffered() == 0 && probe.Look(c.netConn) == probe.Closed {
+		// The request waited here for so long that its caller has left.
+		return nil, io.EOF
+	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
 	return request, nil
 }
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -133,6 +133,38 @@
 	require.ElementsMatch(t, []string{"/slow", "/slow2"}, []string{<-f.cancelled, <-f.cancelled})
 }
 
+// A node without processor time may read a request only after its caller has given it up. Such a request must not run.
+func TestRequestOfCallerWhoLeftBeforeItWasReadIsNotServed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	started := make(chan string, 2)
+	server := New(Config{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { started <- r.URL.Path }),
+		Limits: func() Limits {
+			return Limits{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: testTimeout, IdleTimeout: testTimeout}
+		},
+	})
+	for _, path := range []string{"/left", "/stayed"} {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		if path == "/left" {
+			require.NoError(t, conn.Close())
+		} else {
+			defer func() { _ = conn.Close() }()
+		}
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(context.Background(), listener) }()
+	require.Equal(t, "/stayed", <-started)
+	require.Eventually(t, func() bool { return server.ConnectionCount() == 1 }, testTimeout, time.Millisecond)
+	require.NoError(t, listener.Close())
+	server.CloseConnections()
+	require.NoError(t, <-served)
+	require.Empty(t, started)
+}
+
 func TestRequestParsing(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/local/conn.go
+++ b/internal/local/conn.go
@@ -10,10 +10,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/turmericdale/turmericdale/internal/probe"
 )
 
 const (
@@ -88,22 +87,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = control.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(peekErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return probe.Look(c.Conn) == probe.Quiet
 }
 
 // put keeps a connection for the next call until shortly before the upstream's idle timeout, or closes it if it may not be
--- /dev/null
+++ b/internal/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe looks at a connection without reading from it.
+package probe
