Ask less of the platform at the start, and join sooner

Cause: at a start of all nodes each of them contended for both relay slots, read the log and wrote its own row: about ten calls a node. Relays also invited others only at their next tick, and a node accepted callers before it knew any upstream. Ruled out: waiting for invitations alone (at the first start no relay knows any node). Change: nodes contend for the first slot only, after a random delay and a second look; the relay that takes it promotes one to the second. A slot of an earlier incarnation is taken at once. Nodes without links leave the log to the relays for a second, 0.4 s if they have no configuration. The relay of the first slot writes the rows of its data centre, 100 in a transaction, and invites at once. A relay reads the log at every second poll. A node accepts callers once it knows an upstream of each service, 0.4 s after it joined at the latest.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,9 @@
 	claimBatchDelay     = time.Second
 	// firstConfigurationTimeout bounds how long callers of a new node wait until it has a configuration and has joined.
 	firstConfigurationTimeout = 2 * time.Second
+	// firstUpstreamsTimeout bounds how long callers of a node that has joined wait until it knows upstreams of each service
+	// in use; a service may have none.
+	firstUpstreamsTimeout = 400 * time.Millisecond
 )
 
 // dependencies are the components that the container passes to newNode.
@@ -258,14 +261,23 @@
 	return limits
 }
 
-// awaitConfiguration waits until the node has a configuration and has joined, so that callers of a node that just started
-// wait briefly instead of being refused. It returns early when the node stops.
+// awaitConfiguration waits until the node has a configuration, has joined and knows the upstreams, so that callers of a node that
+// just started wait briefly instead of being refused. It returns early when the node stops.
 func (n *Node) awaitConfiguration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, firstConfigurationTimeout)
 	defer cancel()
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	for !n.stopping.Load() && (n.log.State().Revision == 0 || !n.hub.Joined()) {
+	var joinedAt time.Time
+	for !n.stopping.Load() {
+		if n.log.State().Revision > 0 && n.hub.Joined() {
+			if joinedAt.IsZero() {
+				joinedAt = n.now()
+			}
+			if n.knowsUpstreams() || n.now().Sub(joinedAt) >= firstUpstreamsTimeout {
+				return
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -274,6 +286,16 @@
 	}
 }
 
+// knowsUpstreams reports whether the node knows an upstream of each service.
+func (n *Node) knowsUpstreams() bool {
+	for name := range n.log.State().Services {
+		if len(n.members.Upstreams(name)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (n *Node) startServer(group *errgroup.Group, listener net.Listener, handler http.Handler, endpoint string) *http.Server {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -89,9 +89,12 @@
 	nodeRows  []*wirepb.NodeRow
 	// pollNow starts the next poll of the platform at once.
 	pollNow chan struct{}
-	// dialWake wakes dialLoop.
-	dialWake chan struct{}
-	wait     sync.WaitGroup
+	// dialWake wakes dialLoop, inviteWake inviteLoop.
+	dialWake   chan struct{}
+	inviteWake chan struct{}
+	// isolatedSince is when this node, which is no relay, lost its last link or started; zero while it has one.
+	isolatedSince time.Time
+	wait          sync.WaitGroup
 }
 
 // New returns a hub without links.
@@ -105,6 +108,7 @@
 		invitedAt:        map[netip.AddrPort]time.Time{},
 		pollNow:          make(chan struct{}, 1),
 		dialWake:         make(chan struct{}, 1),
+		inviteWake:       make(chan struct{}, 1),
 	}
 }
 
@@ -114,7 +118,6 @@
 	h.wait.Go(func() { h.dialLoop(ctx) })
 	h.wait.Go(func() { h.pollLoop(ctx) })
 	h.wait.Go(func() { h.orphanLoop(ctx) })
-	h.wait.Go(func() { h.writeNodeRow(ctx) })
 	h.wait.Go(func() { h.inviteLoop(ctx) })
 	<-ctx.Done()
 }
--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,14 +14,15 @@
 )
 
 const (
-	nodeKeyPrefix    = "node/"
-	maxNodeRows      = 1000
-	minRowWriteDelay = 200 * time.Millisecond
-	// startupPolls is the number of polls after a node's start during which a relay reads the node rows every time: the
-	// rest of the data centre may have started with it.
+	nodeKeyPrefix = "node/"
+	maxNodeRows   = 1000
+	// startupPolls is the number of polls after a node became a relay at each of which it writes the rows that are missing:
+	// the rest of the data centre may have started with it.
 	startupPolls    = 6
 	pollsPerRowRead = 10
-	inviteInterval  = 200 * time.Millisecond
+	// maxRowWrites is the number of entries that one transaction may have.
+	maxRowWrites   = 100
+	inviteInterval = 200 * time.Millisecond
 	// reinviteInterval leaves an invited node time to link to a relay before it is invited again.
 	reinviteInterval = 2 * time.Second
 	inviteTimeout    = 500 * time.Millisecond
@@ -33,21 +34,68 @@
 
 func (h *Hub) nodeRowKey() string { return h.nodeRowPrefix() + h.cfg.Node }
 
-// writeNodeRow writes this node's row, by which relays find the node if it later starts without access to the platform.
-// It retries until the write succeeds, the context ends or the node leaves.
-func (h *Hub) writeNodeRow(ctx context.Context) {
-	value, err := proto.Marshal(&wirepb.NodeRow{Node: h.cfg.Node, PeerAddress: h.cfg.PeerAddress.String()})
-	if err != nil {
-		h.cfg.Logger.Error("could not encode node row", zap.Error(err))
+// updateNodeRows keeps the rows of the data centre's nodes: relays read them when they acquire their lease and then in one of
+// pollsPerRowRead polls, and the relay of the first slot adds the nodes that lack one. By these rows relays find nodes that later
+// start without access to the platform.
+func (h *Hub) updateNodeRows(ctx context.Context, round int) {
+	if !h.IsRelay() {
+		return
+	}
+	if round%pollsPerRowRead == 0 && !h.readNodeRows(ctx) || !h.writesNodeRows() || round > startupPolls && round%pollsPerRowRead != 0 {
 		return
 	}
-	for wait := minRowWriteDelay; ctx.Err() == nil && !h.isLeaving(); wait = min(2*wait, reinviteInterval) {
-		_, err := h.cfg.Store.Transact(ctx, &wirepb.Transaction{Puts: []*wirepb.Row{{Key: h.nodeRowKey(), Value: value}}})
-		if err == nil {
+	missing := h.missingNodeRows()
+	for len(missing) > 0 {
+		part := missing[:min(len(missing), maxRowWrites)]
+		missing = missing[len(part):]
+		if _, err := h.cfg.Store.Transact(ctx, &wirepb.Transaction{Puts: part}); err != nil {
+			h.cfg.Logger.Info("could not write node rows", zap.Int("rows", len(part)), zap.Error(err))
 			return
 		}
-		sleep(ctx, wait/2+rand.N(wait))
+		h.rememberNodeRows(part)
+	}
+}
+
+// writesNodeRows reports whether this relay holds the first slot, or the relay that does is not running.
+func (h *Hub) writesNodeRows() bool {
+	if h.ownSlot() == firstSlot {
+		return true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	o := h.leases[h.slotKey(0)]
+	return o == nil || !h.isInForce(o)
+}
+
+// missingNodeRows returns the rows of live nodes of the data centre that are not stored, or with another address.
+func (h *Hub) missingNodeRows() []*wirepb.Row {
+	live := h.cfg.Members.Select(func(r *wirepb.MemberRecord) bool { return !r.GetDown() && r.GetDataCentre() == h.cfg.DataCentre })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	stored := make(map[string]string, len(h.nodeRows))
+	for _, r := range h.nodeRows {
+		stored[r.GetNode()] = r.GetPeerAddress()
+	}
+	var missing []*wirepb.Row
+	for _, r := range live {
+		if stored[r.GetNode()] == r.GetPeerAddress() {
+			continue
+		}
+		value, err := proto.Marshal(&wirepb.NodeRow{Node: r.GetNode(), PeerAddress: r.GetPeerAddress()})
+		if err != nil {
+			h.cfg.Logger.Error("could not encode node row", zap.String("node", r.GetNode()), zap.Error(err))
+			continue
+		}
+		missing = append(missing, &wirepb.Row{Key: h.nodeRowPrefix() + r.GetNode(), Value: value})
 	}
+	return missing
+}
+
+// rememberNodeRows adds rows that were written to the known ones.
+func (h *Hub) rememberNodeRows(rows []*wirepb.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nodeRows = append(slices.Clone(h.nodeRows), h.decodeNodeRows(rows)...)
 }
 
 func (h *Hub) isLeaving() bool {
@@ -56,17 +104,21 @@
 	return h.leaving
 }
 
-// readNodeRows reads the rows of the data centre's nodes in each of the startupPolls and then in one of pollsPerRowRead
-// polls.
-func (h *Hub) readNodeRows(ctx context.Context, round int) {
-	if !h.IsRelay() || round > startupPolls && round%pollsPerRowRead != 0 {
-		return
-	}
+// readNodeRows reads the rows of the data centre's nodes and reports whether it could.
+func (h *Hub) readNodeRows(ctx context.Context) bool {
 	rows, err := h.cfg.Store.Range(ctx, h.nodeRowPrefix(), "", maxNodeRows)
 	if err != nil {
-		return
+		return false
 	}
-	var list []*wirepb.NodeRow
+	h.mu.Lock()
+	h.nodeRows = h.decodeNodeRows(rows)
+	h.mu.Unlock()
+	h.inviteNow()
+	return true
+}
+
+func (h *Hub) decodeNodeRows(rows []*wirepb.Row) []*wirepb.NodeRow {
+	list := make([]*wirepb.NodeRow, 0, len(rows))
 	for _, r := range rows {
 		row := &wirepb.NodeRow{}
 		if err := proto.Unmarshal(r.GetValue(), row); err != nil {
@@ -75,9 +127,15 @@
 		}
 		list = append(list, row)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.nodeRows = list
+	return list
+}
+
+// inviteNow starts the next round of invitations at once.
+func (h *Hub) inviteNow() {
+	select {
+	case h.inviteWake <- struct{}{}:
+	default:
+	}
 }
 
 // inviteLoop invites nodes of the data centre that are down or unknown to link to this node, while this node is a
@@ -89,7 +147,13 @@
 				h.wait.Go(func() { h.sendInvitation(ctx, address) })
 			}
 		}
-		sleep(ctx, inviteInterval)
+		timer := time.NewTimer(inviteInterval)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-h.inviteWake:
+		}
+		timer.Stop()
 	}
 }
 
--- a/internal/relay/invite_test.go
+++ b/internal/relay/invite_test.go
@@ -37,12 +37,17 @@
 }
 
 func startNodeOn(t *testing.T, name string, platform netip.AddrPort, listener net.Listener) *Hub {
+	t.Helper()
+	return startNodePolling(t, name, platform, listener, 100*time.Millisecond)
+}
+
+func startNodePolling(t *testing.T, name string, platform netip.AddrPort, listener net.Listener, interval time.Duration) *Hub {
 	t.Helper()
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	client := store.New(store.Config{Address: platform, Timeout: 200 * time.Millisecond})
 	self := &wirepb.MemberRecord{Node: name, Life: uint64(time.Now().UnixNano()), Sequence: 1, DataCentre: "dc", PeerAddress: address.String()}
 	h := New(Config{
-		Node: name, DataCentre: "dc", PeerAddress: address, MaxChildren: 16, PollInterval: 100 * time.Millisecond,
+		Node: name, DataCentre: "dc", PeerAddress: address, MaxChildren: 16, PollInterval: interval,
 		Logger: zap.NewNop(), Now: time.Now, Store: client, Log: oplog.New(oplog.Config{Store: client, Logger: zap.NewNop(), Now: time.Now}),
 		Members: member.New(member.Config{Self: self, Now: time.Now}), Verdicts: move.NewVerdicts(),
 		Pool: peer.NewPool(peer.PoolConfig{Now: time.Now}),
@@ -144,6 +149,34 @@
 	})
 }
 
+// All nodes of a data centre start at the same moment, and again after they were all killed. What they ask of the platform must
+// grow with their number by little more than the one read that tells a node which relays there are.
+func TestSimultaneousStartAsksLittleOfPlatform(t *testing.T) {
+	const nodes, interval = 40, 2 * time.Second
+	platform := emul.NewPlatform(emul.PlatformConfig{})
+	platform.SetFaults(emul.PlatformFaults{Delay: 8 * time.Millisecond})
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	hubs := make([]*Hub, 0, nodes)
+	for i := range nodes {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		hubs = append(hubs, startNodePolling(t, "node-"+string(rune('A'+i)), address, listener, interval))
+	}
+	require.Eventually(t, func() bool {
+		for _, h := range hubs {
+			if !h.Joined() || platform.Row("", "node/dc/"+h.cfg.Node) == nil {
+				return false
+			}
+		}
+		return true
+	}, recoveryTimeout, pollInterval)
+	reads, writes := platform.OperationCounts()
+	t.Logf("%d reads, %d writes", reads, writes)
+	require.LessOrEqual(t, reads+writes, uint64(3*nodes))
+}
+
 func TestLeaveDeletesRows(t *testing.T) {
 	platform, address := newPlatform(t)
 	h := startNode(t, "node", address)
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,17 @@
 	// no parent or is promoted, and then has nothing else to wait for.
 	isolatedPollInterval = 500 * time.Millisecond
 	pollsPerRenewal      = 2
+	// pollsPerSync is the number of a relay's polls per read of the log, which only finds changes that no link delivered.
+	pollsPerSync = 2
+	// maxContentionDelay spreads the attempts of nodes that start at the same moment to take a vacant slot: the first one
+	// takes it, and the others find it taken.
+	maxContentionDelay = 150 * time.Millisecond
+	// isolationTimeout is how long a node without links relies on the relays of its data centre; after it, the node reads the
+	// log itself and takes the second slot, too.
+	isolationTimeout = time.Second
+	// configurationTimeout is the same for a node that has no configuration yet.
+	configurationTimeout = 400 * time.Millisecond
+	firstSlot            = "0"
 	leaveTimeout         = time.Second
 	// dataCentreLostTimeout is how long no lease of a data centre must have been renewed before its nodes count as
 	// down.
@@ -94,16 +106,35 @@
 		return false
 	}
 	if h.relay || h.promoted {
+		h.isolatedSince = time.Time{}
 		return true
 	}
 	for _, l := range h.links {
 		if l.dialled {
+			h.isolatedSince = time.Time{}
 			return false
 		}
 	}
+	if h.isolatedSince.IsZero() {
+		h.isolatedSince = h.cfg.Now()
+	}
 	return true
 }
 
+// lacksConfiguration reports whether this node has no configuration although it relied on the relays for a while.
+func (h *Hub) lacksConfiguration() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cfg.Log.State().Revision == 0 && h.cfg.Now().Sub(h.isolatedSince) >= configurationTimeout
+}
+
+// reliesOnRelays reports whether this node may still be linked by the relays of its data centre soon.
+func (h *Hub) reliesOnRelays() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.relay && !h.promoted && h.cfg.Now().Sub(h.isolatedSince) < isolationTimeout
+}
+
 func (h *Hub) pollPlatform(ctx context.Context, round int) {
 	wasUp := h.cfg.Store.IsReachable()
 	err := h.readLeases(ctx)
@@ -113,20 +144,49 @@
 	if err != nil {
 		return
 	}
-	h.readNodeRows(ctx, round)
+	acquired := false
 	switch key, free := h.acquirableSlot(); {
 	case h.IsRelay() && round%pollsPerRenewal == 0:
 		h.renewLease(ctx)
 	case !h.IsRelay() && free:
-		h.acquireLease(ctx, key)
+		acquired = h.contendForLease(ctx, key)
 	default:
 		h.clearPromotion()
 	}
+	rowsRound := round
+	if acquired {
+		rowsRound = 0
+	}
+	var rowsUpdated sync.WaitGroup
+	defer rowsUpdated.Wait()
+	rowsUpdated.Go(func() { h.updateNodeRows(ctx, rowsRound) })
+	if h.reliesOnRelays() && !h.lacksConfiguration() || h.IsRelay() && !acquired && round%pollsPerSync != 0 {
+		return
+	}
 	if err := h.cfg.Log.Sync(ctx); err != nil && h.cfg.Store.IsReachable() {
 		h.cfg.Logger.Warn("could not read changes from the platform", zap.Error(err))
 	}
 }
 
+// contendForLease takes a vacant slot and reports whether it did. While this node relies on the relays of its data centre, it
+// contends for the first slot only, after a random delay: the relay that takes it promotes another node to the second one. A
+// slot that an earlier incarnation of this node held is taken at once.
+func (h *Hub) contendForLease(ctx context.Context, key string) bool {
+	if own := h.ownLease(); h.reliesOnRelays() && (own == nil || own.key != key) {
+		if slotOf(key) != firstSlot {
+			return false
+		}
+		sleep(ctx, rand.N(maxContentionDelay))
+		if err := h.readLeases(ctx); err != nil {
+			return false
+		}
+		if vacant, free := h.acquirableSlot(); !free || vacant != key {
+			return false
+		}
+	}
+	return h.acquireLease(ctx, key)
+}
+
 func (h *Hub) readLeases(ctx context.Context) error {
 	rows, err := h.cfg.Store.Range(ctx, leasePrefix, "", maxLeases)
 	if err != nil {
@@ -255,17 +315,18 @@
 	})
 }
 
-func (h *Hub) acquireLease(ctx context.Context, key string) {
+// acquireLease writes a lease for a vacant slot and reports whether this node is a relay now.
+func (h *Hub) acquireLease(ctx context.Context, key string) bool {
 	acquired, err := h.putLease(ctx, key, h.newLease(0))
 	if err != nil || !acquired {
-		return
+		return false
 	}
 	if err := h.readLeases(ctx); err != nil {
 		h.cfg.Logger.Info("could not read relay leases after acquiring one", zap.String("slot", key), zap.Error(err))
 	}
 	h.setRelay(true)
 	h.cfg.Logger.Info("relay lease acquired", zap.String("slot", key))
-	h.readNodeRows(ctx, 0)
+	return true
 }
 
 // renewLease renews this node's lease, or ends its role as a relay if another node has taken the lease over.
