--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -17,17 +17,19 @@
 )
 
 const (
-	maxQueuedChanges   = 256
-	maxBatchChanges    = 32
-	maxCommitAttempts  = 64
-	retryDelay         = 20 * time.Millisecond
-	commitTimeout      = 8 * time.Second
-	changesPerSnapshot = 256
+	maxQueuedChanges  = 256
+	maxBatchChanges   = 32
+	maxCommitAttempts = 64
+	retryDelay        = 20 * time.Millisecond
+	commitTimeout     = 8 * time.Second
+	// changesPerSnapshot is small, since a node that starts replays the changes after the newest snapshot, which takes longer
+	// than reading the snapshot.
+	changesPerSnapshot = 8
 	// rowsKeptBeforeSnapshot lets nodes that are up to so many revisions behind a snapshot catch up without it.
 	rowsKeptBeforeSnapshot = recentChangesKept
-	// maxTrimmedRows limits the rows deleted after one snapshot. It exceeds changesPerSnapshot, so that a deletion repeats
-	// part of the previous one, which may have failed.
-	maxTrimmedRows = 400
+	// maxTrimmedRows is the number of rows deleted after one snapshot, in one transaction. It exceeds changesPerSnapshot several
+	// times, so that a deletion repeats the ones before it, which may have failed.
+	maxTrimmedRows = platform.MaxTransactionEntries
 	writeTimeout   = 4 * time.Second
 	// maxRowBytes lets a full batch fit into one transaction, which the platform limits to 1 MB in text form.
 	maxRowBytes        = 20 << 10
@@ -70,6 +72,7 @@
 
 // RunCommitter commits submitted changes in batches until the context ends.
 func (l *Log) RunCommitter(ctx context.Context) {
+	defer l.tasks.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -294,31 +297,33 @@
 		s.reply <- submissionResult{revision: changes[i].GetRevision()}
 	}
 	newest := changes[len(changes)-1].GetRevision()
-	if newest-head.GetSnapshotRevision() < changesPerSnapshot {
+	if newest-head.GetSnapshotRevision() < changesPerSnapshot || !l.storingSnapshot.CompareAndSwap(false, true) {
 		return
 	}
-	if err := l.storeSnapshot(ctx); err != nil {
-		l.logger.Warn("could not store snapshot", zap.Uint64("revision", newest), zap.Error(err))
-	}
+	l.tasks.Go(func() {
+		defer l.storingSnapshot.Store(false)
+		if err := l.storeSnapshot(ctx); err != nil {
+			l.logger.Warn("could not store snapshot", zap.Uint64("revision", newest), zap.Error(err))
+		}
+	})
 }
 
 // storeSnapshot stores the current state as an object and names it in the head, then deletes rows and the snapshot that it
 // replaces.
 func (l *Log) storeSnapshot(ctx context.Context) error {
-	snapshot := l.State().Snapshot()
-	data, err := EncodeSnapshot(snapshot)
+	snapshot, err := l.EncodedSnapshot()
 	if err != nil {
 		return err
 	}
-	if err := l.store.PutObject(ctx, snapshotName(snapshot.GetRevision()), data); err != nil {
+	if err := l.store.PutObject(ctx, snapshotName(snapshot.Revision), snapshot.Data); err != nil {
 		return err
 	}
 	head, version, err := l.readHead(ctx)
-	if err != nil || head.GetSnapshotRevision() >= snapshot.GetRevision() {
+	if err != nil || head.GetSnapshotRevision() >= snapshot.Revision {
 		return err
 	}
 	previous := head.GetSnapshotRevision()
-	head.SnapshotRevision = snapshot.GetRevision()
+	head.SnapshotRevision = snapshot.Revision
 	transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: headKey, Version: version}}}
 	if err := addPut(transaction, headKey, head); err != nil {
 		return err
@@ -327,7 +332,7 @@
 	if err != nil || !committed {
 		return err
 	}
-	if err := l.deleteRows(ctx, trimmableKeys(snapshot.GetRevision())); err != nil || previous == 0 {
+	if err := l.deleteRows(ctx, trimmableKeys(snapshot.Revision)); err != nil || previous == 0 {
 		return err
 	}
 	return l.store.DeleteObject(ctx, snapshotName(previous))
@@ -351,7 +356,7 @@
 	newest := snapshotRevision - rowsKeptBeforeSnapshot
 	oldest := uint64(1)
 	if newest > maxTrimmedRows {
-		oldest = newest - maxTrimmedRows
+		oldest = newest - maxTrimmedRows + 1
 	}
 	keys := make([]string, 0, newest-oldest+1)
 	for i := oldest; i <= newest; i++ {
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -49,6 +49,37 @@
 	mu            sync.Mutex
 	recentChanges []*wirepb.Change
 	changed       chan struct{}
+
+	// storingSnapshot is set while one of the tasks stores a snapshot.
+	storingSnapshot atomic.Bool
+	tasks           sync.WaitGroup
+
+	encodedMu sync.Mutex
+	// encoded is the newest snapshot that was encoded.
+	encoded EncodedSnapshot
+}
+
+// EncodedSnapshot is the compressed snapshot of one revision.
+type EncodedSnapshot struct {
+	Revision uint64
+	Data     []byte
+}
+
+// EncodedSnapshot returns the snapshot of the current state, encoded once per revision, since all links of a node that starts
+// beside others ask for it; it returns *CorruptError.
+func (l *Log) EncodedSnapshot() (EncodedSnapshot, error) {
+	l.encodedMu.Lock()
+	defer l.encodedMu.Unlock()
+	state := l.State()
+	if l.encoded.Data != nil && l.encoded.Revision == state.Revision {
+		return l.encoded, nil
+	}
+	data, err := EncodeSnapshot(state.Snapshot())
+	if err != nil {
+		return EncodedSnapshot{}, err
+	}
+	l.encoded = EncodedSnapshot{Revision: state.Revision, Data: data}
+	return l.encoded, nil
 }
 
 // New returns a log at revision 0.
@@ -106,6 +137,7 @@
 		l.recentChanges = append([]*wirepb.Change(nil), l.recentChanges[len(l.recentChanges)-recentChangesKept:]...)
 	}
 	l.setState(next)
+	l.logger.Info("changes applied", zap.Uint64("revision", next.Revision), zap.Int("changes", len(changes)))
 	return false
 }
 
@@ -124,6 +156,7 @@
 	}
 	l.recentChanges = nil
 	l.setState(next)
+	l.logger.Info("snapshot applied", zap.Uint64("revision", next.Revision))
 }
 
 func (l *Log) setState(next *tree.State) {
--- a/internal/oplog/sync.go
+++ b/internal/oplog/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericdale/turmericdale/internal/store"
@@ -15,10 +16,12 @@
 )
 
 const (
-	headKey          = "head"
-	logPrefix        = "log/"
-	maxPageRows      = 500
-	maxSyncAttempts  = 3
+	headKey         = "head"
+	logPrefix       = "log/"
+	maxPageRows     = 500
+	maxSyncAttempts = 3
+	// maxParallelLoads is the number of objects that are read at the same time.
+	maxParallelLoads = 8
 	maxSnapshotBytes = 256 << 20
 )
 
@@ -64,6 +67,13 @@
 func (l *Log) catchUp(ctx context.Context, head *wirepb.Head) error {
 	for l.State().Revision < head.GetRevision() {
 		before := l.State().Revision
+		// A node that has nothing yet starts from the snapshot. Others replay the changes, by whose operation ids they recognise
+		// what they have committed themselves.
+		if before == 0 && head.GetSnapshotRevision() > 0 {
+			if err := l.loadSnapshot(ctx, head.GetSnapshotRevision()); err != nil {
+				return err
+			}
+		}
 		if err := l.catchUpPage(ctx, head); err != nil {
 			return err
 		}
@@ -91,17 +101,17 @@
 
 func (l *Log) decodeChanges(ctx context.Context, rows []*wirepb.Row) ([]*wirepb.Change, error) {
 	changes := make([]*wirepb.Change, 0, len(rows))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxParallelLoads)
 	for _, r := range rows {
 		change := &wirepb.Change{}
 		if err := proto.Unmarshal(r.GetValue(), change); err != nil {
 			return nil, &CorruptError{Name: r.GetKey(), Cause: err}
 		}
-		if err := l.loadPuts(ctx, change); err != nil {
-			return nil, err
-		}
 		changes = append(changes, change)
+		group.Go(func() error { return l.loadPuts(ctx, change) })
 	}
-	return changes, nil
+	return changes, group.Wait()
 }
 
 // loadPuts restores the puts of a change that are packed or stored as an object.
@@ -191,7 +201,7 @@
 	if err != nil {
 		return nil, &CorruptError{Name: "snapshot", Cause: err}
 	}
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithLowerEncoderMem(true))
 	if err != nil {
 		return nil, &CorruptError{Name: "snapshot", Cause: err}
 	}
@@ -201,7 +211,7 @@
 
 // DecodeSnapshot decompresses and decodes a snapshot of at most 256 MiB; it returns *CorruptError.
 func DecodeSnapshot(data []byte) (*wirepb.Snapshot, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxSnapshotBytes))
 	if err != nil {
 		return nil, &CorruptError{Name: "snapshot", Cause: err}
 	}
--- a/internal/relay/changes.go
+++ b/internal/relay/changes.go
@@ -13,6 +13,9 @@
 	snapshotPartBytes = 64 << 10
 	maxSnapshotBytes  = 64 << 20
 	maxBatchChanges   = 64
+	// maxInitialChanges is the number of changes above which a node that has none gets a snapshot instead: the changes replace
+	// much of each other.
+	maxInitialChanges = 8
 	// maxWANChangeBytes is the size up to which changes are sent between data centres immediately: larger ones cost less to
 	// read from the platform.
 	maxWANChangeBytes = 2 << 10
@@ -25,6 +28,7 @@
 // sent only if includeDistributed is set, which leaves the remote relay time to report in a beat that it has them.
 func (l *link) sendChanges(includeDistributed bool) error {
 	if l.wan && !includeDistributed && l.hub.distributedByOthers() {
+		l.endDeferral()
 		return nil
 	}
 	if l.isDeferred() {
@@ -36,7 +40,7 @@
 		l.mu.Unlock()
 		changes, complete := l.hub.cfg.Log.ChangesSince(revision)
 		switch {
-		case !complete:
+		case !complete, revision == 0 && len(changes) > maxInitialChanges:
 			if err := l.sendSnapshot(); err != nil {
 				return err
 			}
@@ -75,6 +79,13 @@
 	return l.hub.cfg.Now().Sub(l.deferredAt) < platformReadTimeout
 }
 
+// endDeferral stops the timer of a deferral that no longer matters; it would fire all the time otherwise.
+func (l *link) endDeferral() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deferredAt = time.Time{}
+}
+
 // announceRevision sends a beat once for each new revision, so that the remote node need not send the changes up to it.
 func (l *link) announceRevision() error {
 	if revision := l.hub.cfg.Log.State().Revision; revision > l.announcedRevision {
@@ -101,19 +112,19 @@
 }
 
 func (l *link) sendSnapshot() error {
-	snapshot := l.hub.cfg.Log.State().Snapshot()
-	data, err := oplog.EncodeSnapshot(snapshot)
+	snapshot, err := l.hub.cfg.Log.EncodedSnapshot()
 	if err != nil {
 		return err
 	}
+	data := snapshot.Data
 	for first := 0; first < len(data); first += snapshotPartBytes {
 		last := min(first+snapshotPartBytes, len(data))
-		part := &wirepb.SnapshotPart{Revision: snapshot.GetRevision(), Data: data[first:last], Last: last == len(data)}
+		part := &wirepb.SnapshotPart{Revision: snapshot.Revision, Data: data[first:last], Last: last == len(data)}
 		if err := l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Snapshot{Snapshot: part}}); err != nil {
 			return err
 		}
 	}
-	l.advanceRevision(snapshot.GetRevision())
+	l.advanceRevision(snapshot.Revision)
 	return nil
 }
 
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -144,6 +144,17 @@
 	})
 }
 
+// While another relay distributes a change, the timer of a deferral must not fire again and again until the next beat.
+func TestDeferralEndsWhenOthersDistribute(t *testing.T) {
+	h := newHub()
+	l, _ := newLink(t, h, "remote")
+	l.betweenRelays, l.wan, l.deferredAt = true, true, h.cfg.Now().Add(-time.Minute)
+	h.markDistributed(h.cfg.Log.State().Revision + 1)
+	require.True(t, h.distributedByOthers())
+	require.NoError(t, l.sendChanges(false))
+	require.Nil(t, l.deferralTimer())
+}
+
 // A beat must carry the alternates only if they differ from those that were sent last.
 func TestAlternatesAreSentWhenChanged(t *testing.T) {
 	h := newHub()
