Let only nodes that have just started rely on the relays

Ruled out: the importers (each follows the operator's row). Change: relays read the log at every poll again; only a node that has had no link since its start relies on the relays.

--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -94,7 +94,9 @@
 	inviteWake chan struct{}
 	// isolatedSince is when this node, which is no relay, lost its last link or started; zero while it has one.
 	isolatedSince time.Time
-	wait          sync.WaitGroup
+	// linkedBefore means that this node has had a link.
+	linkedBefore bool
+	wait         sync.WaitGroup
 }
 
 // New returns a hub without links.
@@ -159,7 +161,7 @@
 	if previous, found := h.links[l.node]; found {
 		previous.close()
 	}
-	h.links[l.node] = l
+	h.links[l.node], h.linkedBefore = l, true
 	return true
 }
 
@@ -210,7 +212,7 @@
 	if _, found := h.links[l.node]; found {
 		return false
 	}
-	h.links[l.node] = l
+	h.links[l.node], h.linkedBefore = l, true
 	return true
 }
 
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -27,13 +27,11 @@
 	// no parent or is promoted, and then has nothing else to wait for.
 	isolatedPollInterval = 500 * time.Millisecond
 	pollsPerRenewal      = 2
-	// pollsPerSync is the number of a relay's polls per read of the log, which only finds changes that no link delivered.
-	pollsPerSync = 2
 	// maxContentionDelay spreads the attempts of nodes that start at the same moment to take a vacant slot: the first one
 	// takes it, and the others find it taken.
 	maxContentionDelay = 150 * time.Millisecond
-	// isolationTimeout is how long a node without links relies on the relays of its data centre; after it, the node reads the
-	// log itself and takes the second slot, too.
+	// isolationTimeout is how long a node that has just started relies on the relays of its data centre; after it, or if it had
+	// a link before, the node reads the log itself and takes the second slot, too.
 	isolationTimeout = time.Second
 	// configurationTimeout is the same for a node that has no configuration yet.
 	configurationTimeout = 400 * time.Millisecond
@@ -128,11 +126,11 @@
 	return h.cfg.Log.State().Revision == 0 && h.cfg.Now().Sub(h.isolatedSince) >= configurationTimeout
 }
 
-// reliesOnRelays reports whether this node may still be linked by the relays of its data centre soon.
+// reliesOnRelays reports whether this node has just started and may still be linked by the relays of its data centre soon.
 func (h *Hub) reliesOnRelays() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.relay && !h.promoted && h.cfg.Now().Sub(h.isolatedSince) < isolationTimeout
+	return !h.relay && !h.promoted && !h.linkedBefore && h.cfg.Now().Sub(h.isolatedSince) < isolationTimeout
 }
 
 func (h *Hub) pollPlatform(ctx context.Context, round int) {
@@ -160,7 +158,7 @@
 	var rowsUpdated sync.WaitGroup
 	defer rowsUpdated.Wait()
 	rowsUpdated.Go(func() { h.updateNodeRows(ctx, rowsRound) })
-	if h.reliesOnRelays() && !h.lacksConfiguration() || h.IsRelay() && !acquired && round%pollsPerSync != 0 {
+	if h.reliesOnRelays() && !h.lacksConfiguration() {
 		return
 	}
 	if err := h.cfg.Log.Sync(ctx); err != nil && h.cfg.Store.IsReachable() {
