--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -90,6 +90,7 @@
 	m.RegisterGauge("members", "Nodes that are not down.", func() float64 { return float64(n.members.LiveCount()) })
 	m.RegisterGauge("links", "Links to other nodes.", func() float64 { return float64(n.hub.LinkCount()) })
 	m.RegisterGauge("sessions", "Sessions to other nodes.", func() float64 { return float64(n.pool.SessionCount()) })
+	m.RegisterGauge("link_backlog_seconds", "Time that the VM's link needs for the large responses of admitted calls.", func() float64 { return n.egress.Backlog().Seconds() })
 	m.RegisterGauge("calls_running", "Callers' requests being served.", func() float64 { return float64(n.proxy.InFlight()) })
 	m.RegisterGauge("platform_up", "Whether the newest operation reached the platform.", func() float64 {
 		if n.store.IsReachable() {
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/claim"
 	"github.com/turmericdale/turmericdale/internal/emul"
@@ -197,6 +198,31 @@
 	}
 }
 
+// While the local upstream runs repeated calls only, the calls that it makes are repeats for the services that it calls.
+func TestRepeatedCallIsChargedToBudget(t *testing.T) {
+	f := newFixture(t)
+	f.proxy.retryBudget = newRetryBudget(RetryBudgetConfig{Ratio: boundRatio, Slack: 100, CountNodes: func() int { return 1 }})
+	finish := make(chan struct{})
+	f.handler = func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/parent" {
+			<-finish
+		}
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f.proxy.cfg.Local.Call(t.Context(), &wirepb.CallHead{
+			CallId: "parent", Service: "shop", Version: "v1", Method: http.MethodGet, Target: []byte("/parent"),
+			TimeLeft: durationpb.New(time.Minute), Repeated: true,
+		})
+	}()
+	require.Eventually(t, func() bool { return f.proxy.cfg.Local.RepeatedFraction() == 1 }, 5*time.Second, time.Millisecond)
+	requireOutcome(t, f.send("/read", ""), http.StatusOK, OutcomeAnswered)
+	require.InDelta(t, ratioFraction*boundRatio-1, f.proxy.retryBudget.services["shop"].tokens, 1e-9)
+	close(finish)
+	<-ended
+}
+
 // An answer with the id of another call must not reach the caller: the outcome of the call is unknown.
 func TestAnswerOfAnotherCallIsNotDelivered(t *testing.T) {
 	f := newFixture(t)
