Keep trying a service that is not saturated, and put late downloads behind the others

Downloads past their objective also took the room of others in time. Change: three refusals end a call only while the service is saturated, eight otherwise. On the link, calls past their objective queue like those from other data centres, for a quarter of the time.

--- a/internal/egress/limiter.go
+++ b/internal/egress/limiter.go
@@ -13,9 +13,9 @@
 	// largeFraction is the part of the link that large responses may use; announcements, configuration, calls and small
 	// responses need the rest.
 	largeFraction = 0.85
-	// foreignFraction is the part of the time until a response is due for which a response to another data centre may queue,
-	// so that calls from this data centre find room.
-	foreignFraction = 0.25
+	// secondaryFraction is the part of the time until a response is due for which a secondary response may queue, so that
+	// other calls find room.
+	secondaryFraction = 0.25
 	// sizeMargin covers the spread of the sizes: responses are up to several times larger than their average.
 	sizeMargin    = 1.2
 	averageWeight = 0.1
@@ -51,8 +51,8 @@
 	Route string
 	// RespondBy is when the response is due.
 	RespondBy time.Time
-	// Foreign means that the response goes to another data centre.
-	Foreign bool
+	// Secondary means that the response goes to another data centre or cannot meet the call's latency objective any more.
+	Secondary bool
 }
 
 // Reservation is the room on the link for the response to one call; it must be ended by Send or Cancel.
@@ -78,8 +78,8 @@
 	}
 	now := l.cfg.Now()
 	left := request.RespondBy.Sub(now)
-	if request.Foreign {
-		left = time.Duration(foreignFraction * float64(left))
+	if request.Secondary {
+		left = time.Duration(secondaryFraction * float64(left))
 	}
 	if time.Duration(sizeMargin*float64(l.backlog(now)+l.duration(expected))) > left {
 		return nil, false
--- a/internal/egress/limiter_test.go
+++ b/internal/egress/limiter_test.go
@@ -19,14 +19,14 @@
 
 // linkLoad is a load of downloads on the link of one VM.
 type linkLoad struct {
-	perSecond      float64
-	foreignPercent int
+	perSecond        float64
+	secondaryPercent int
 }
 
 // linkResult counts what became of the downloads and how long the link made small messages wait.
 type linkResult struct {
 	asked, inTime, late, refused int
-	served, foreignServed        int
+	served, secondaryServed      int
 	worstBacklog                 time.Duration
 }
 
@@ -42,9 +42,9 @@
 		var linkFreeAt time.Time
 		for start := time.Now(); time.Since(start) < testDuration; {
 			time.Sleep(time.Duration(random.ExpFloat64() / load.perSecond * float64(time.Second)))
-			dueAt, foreign := time.Now().Add(objective), random.IntN(100) < load.foreignPercent
+			dueAt, secondary := time.Now().Add(objective), random.IntN(100) < load.secondaryPercent
 			result.asked++
-			reservation, admitted := l.Reserve(Request{Route: "download", RespondBy: dueAt, Foreign: foreign})
+			reservation, admitted := l.Reserve(Request{Route: "download", RespondBy: dueAt, Secondary: secondary})
 			if !admitted {
 				result.refused++
 				continue
@@ -62,8 +62,8 @@
 				result.worstBacklog = max(result.worstBacklog, time.Until(linkFreeAt))
 				time.Sleep(time.Until(linkFreeAt))
 				result.served++
-				if foreign {
-					result.foreignServed++
+				if secondary {
+					result.secondaryServed++
 				}
 				if time.Now().After(dueAt) {
 					result.late++
@@ -91,7 +91,7 @@
 		{"half of the link", linkLoad{perSecond: perSecondCarried / 2}},
 		{"one and a half times the link", linkLoad{perSecond: 1.5 * perSecondCarried}},
 		{"four times the link", linkLoad{perSecond: 4 * perSecondCarried}},
-		{"four times the link, half of it from other data centres", linkLoad{perSecond: 4 * perSecondCarried, foreignPercent: 50}},
+		{"four times the link, half of it secondary", linkLoad{perSecond: 4 * perSecondCarried, secondaryPercent: 50}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -101,7 +101,7 @@
 			require.LessOrEqual(t, float64(result.late), 0.05*carried)
 			// The largest body takes 82 ms.
 			require.Less(t, result.worstBacklog, 100*time.Millisecond)
-			require.LessOrEqual(t, float64(result.foreignServed), 0.1*carried)
+			require.LessOrEqual(t, float64(result.secondaryServed), 0.1*carried)
 		})
 	}
 	t.Run("the link without a limiter collapses", func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,12 +136,13 @@
 // serveCall runs a call from another node on a local upstream. A refusal because the version was taken back carries the
 // verdicts on the service. A call whose response the VM's link cannot send in time is refused before it runs.
 func (n *Node) serveCall(ctx context.Context, conn net.Conn, head *wirepb.CallHead) {
+	late := head.GetObjectiveLeft() != nil && head.GetObjectiveLeft().AsDuration() <= 0
 	reservation, admitted := n.egress.Reserve(egress.Request{
-		Route: head.GetRoute(), RespondBy: local.RespondBy(head, n.now()), Foreign: head.GetForeign(),
+		Route: head.GetRoute(), RespondBy: local.RespondBy(head, n.now()), Secondary: head.GetForeign() || late,
 	})
 	if !admitted {
 		n.logger.Info("call refused: link is busy", zap.String("id", head.GetCallId()), zap.String("route", head.GetRoute()),
-			zap.Bool("foreign", head.GetForeign()), zap.Duration("backlog", n.egress.Backlog()))
+			zap.Bool("foreign", head.GetForeign()), zap.Bool("late", late), zap.Duration("backlog", n.egress.Backlog()))
 		n.writeAnswer(conn, &wirepb.AnswerHead{
 			CallId: head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_OVERLOADED,
 		})
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -17,8 +17,6 @@
 	// maxTries bounds the number of nodes that one call is sent to. The setting attempts of a route does not bound it, since
 	// most refused calls did not reach an upstream and do not count as attempts.
 	maxTries = 8
-	// maxOverloadedTries is the number of refusals for overload after which the whole service counts as saturated for a call.
-	maxOverloadedTries = 3
 	// frameOverheadBytes is the size that an answer may have for headers and verdicts in addition to its body.
 	frameOverheadBytes      = 128 << 10
 	newVersionTimeoutFactor = 10
@@ -37,7 +35,8 @@
 	var ran *wirepb.AnswerHead
 	refused := &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
 	throttled := throttleKey{service: c.service.Name, class: c.route.Class}
-	if !p.throttle.admit(throttled) {
+	overloadTries := p.throttle.admit(throttled)
+	if overloadTries == 0 {
 		refused.Refusal = wirepb.Refusal_REFUSAL_OVERLOADED
 		return refused
 	}
@@ -64,7 +63,7 @@
 		if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && ran != nil {
 			answer = ran
 		}
-		if chosen == nil || i == maxTries || overloaded == maxOverloadedTries || arrived >= c.route.Attempts || p.expired(ctx, c) || !p.allowRetry(c, answer, toNew) {
+		if chosen == nil || i == maxTries || overloaded == overloadTries || arrived >= c.route.Attempts || p.expired(ctx, c) || !p.allowRetry(c, answer, toNew) {
 			if overloaded == 0 || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
 				p.throttle.accept(throttled)
 			}
--- a/internal/route/throttle.go
+++ b/internal/route/throttle.go
@@ -16,6 +16,8 @@
 	throttleWindow   = 500 * time.Millisecond
 	// minThrottledCalls is the number of recent calls below which none is throttled.
 	minThrottledCalls = 5
+	// saturatedTries is the number of refusals for overload that end a call to a saturated service.
+	saturatedTries = 3
 )
 
 // throttle refuses calls at the caller's node while the upstreams of their service refuse most calls of their class: a call
@@ -43,15 +45,23 @@
 	return &throttle{now: now, classes: map[throttleKey]*throttleCounts{}}
 }
 
-// admit reports whether a call may be sent to the upstreams, and counts it.
-func (t *throttle) admit(key throttleKey) bool {
+// admit returns at how many upstreams a call may be refused for overload, 0 if it may not be sent at all, and counts the call.
+func (t *throttle) admit(key throttleKey) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.counts(key)
 	excess := c.calls - throttleHeadroom*c.accepted
-	refuse := c.calls >= minThrottledCalls && rand.Float64() < excess/(c.calls+1)
+	saturated := c.calls >= minThrottledCalls && excess > 0
+	refuse := saturated && rand.Float64() < excess/(c.calls+1)
 	c.calls++
-	return !refuse
+	switch {
+	case refuse:
+		return 0
+	case saturated:
+		return saturatedTries
+	default:
+		return maxTries
+	}
 }
 
 // accept counts a call that was not refused for overload.
--- a/internal/route/throttle_test.go
+++ b/internal/route/throttle_test.go
@@ -26,7 +26,7 @@
 		room := accepts * step.Seconds()
 		for next := now.Add(step); now.Before(next); {
 			now = now.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
-			if throttled && !t.admit(key) {
+			if throttled && t.admit(key) == 0 {
 				result.refusedAtOnce++
 				continue
 			}
@@ -71,7 +71,7 @@
 			throttle.admit(key)
 		}
 		now = now.Add(6 * throttleWindow)
-		require.True(t, throttle.admit(key))
+		require.Equal(t, maxTries, throttle.admit(key))
 	})
 	t.Run("classes are separate", func(t *testing.T) {
 		throttle := newThrottle(time.Now)
@@ -79,7 +79,7 @@
 			throttle.admit(throttleKey{service: "shop", class: wirepb.Class_CLASS_BROWSE})
 		}
 		for range 100 {
-			require.True(t, throttle.admit(throttleKey{service: "shop", class: wirepb.Class_CLASS_CRITICAL}))
+			require.Equal(t, maxTries, throttle.admit(throttleKey{service: "shop", class: wirepb.Class_CLASS_CRITICAL}))
 			throttle.accept(throttleKey{service: "shop", class: wirepb.Class_CLASS_CRITICAL})
 		}
 	})
