Bound what an upstream can send without end, and what a panic can end

The head of a response had no limit: an upstream that sends a status line or headers without end filled the node's memory until the call's deadline. A claimed length of up to 16 MB was allocated before any byte had come, 13 times at a time, on VMs of 184 MB. After a body beyond its limit, closing it read on until the deadline. A panic in the handler of a request, or of a stream from another node, ended the process. Ruled out: trailers, chunk sizes and chunk extensions (the library bounds them), interim responses and responses to other calls (four at most), bytes after a complete response (the connection is not used again), bytes one at a time (the deadline of the call). Change: 64 KB for a head; bodies get memory as they arrive; 32 MB for all bodies that a node reads at the same time; a connection is closed after any error without reading on. Panics are logged with their stack and counted; the request gets 502, the stream ends.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -204,8 +205,7 @@
 
 // serveRequest runs a request and writes its response after those of the requests before it.
 func (c *conn) serveRequest(ctx context.Context, handler http.Handler, request *http.Request, previousWritten <-chan struct{}) {
-	w := &bufferedResponse{header: http.Header{}}
-	handler.ServeHTTP(w, request.WithContext(c.requestContext))
+	w := c.handle(handler, request)
 	select {
 	case <-previousWritten:
 	case <-ctx.Done():
@@ -217,6 +217,19 @@
 	}
 }
 
+// handle runs a request. A panic ends this request only, since the other ones of the process have nothing to do with it.
+func (c *conn) handle(handler http.Handler, request *http.Request) (w *bufferedResponse) {
+	w = &bufferedResponse{header: http.Header{}}
+	defer func() {
+		if value := recover(); value != nil {
+			c.server.cfg.OnPanic(value, debug.Stack())
+			w = &bufferedResponse{header: http.Header{}, status: http.StatusBadGateway}
+		}
+	}()
+	handler.ServeHTTP(w, request.WithContext(c.requestContext))
+	return w
+}
+
 // endRequest marks a request as no longer pending and reports whether its response is the last one of the connection.
 func (c *conn) endRequest(request *http.Request) bool {
 	c.mu.Lock()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -38,6 +38,8 @@
 	Limits func() Limits
 	// OnInvalidRequest is called for each connection that ends with an invalid request.
 	OnInvalidRequest func()
+	// OnPanic is called with the value and the stack of a panic in a handler; the request gets status 502, as it may have run.
+	OnPanic func(value any, stack []byte)
 	// OnAbandoned is called when reading from a connection fails while requests are pending, usually because the caller has
 	// closed it.
 	OnAbandoned func()
@@ -63,6 +65,9 @@
 	if cfg.OnInvalidRequest == nil {
 		cfg.OnInvalidRequest = func() {}
 	}
+	if cfg.OnPanic == nil {
+		cfg.OnPanic = func(any, []byte) {}
+	}
 	if cfg.OnAbandoned == nil {
 		cfg.OnAbandoned = func() {}
 	}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -57,6 +57,9 @@
 
 func (f *fixture) handle(w http.ResponseWriter, r *http.Request) {
 	f.started <- r.URL.Path
+	if r.URL.Path == "/panic" {
+		panic("a fault of the handler")
+	}
 	if strings.HasPrefix(r.URL.Path, "/slow") {
 		select {
 		case <-f.release:
@@ -165,6 +168,25 @@
 	require.Empty(t, started)
 }
 
+// A panic costs the request that it happens in, not the process or other requests.
+func TestPanicEndsOneRequest(t *testing.T) {
+	f := newFixture(t)
+	conn, err := net.Dial("tcp", f.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET /panic HTTP/1.1\r\nHost: h\r\n\r\nGET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	for _, want := range []int{http.StatusBadGateway, http.StatusOK} {
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, want, response.StatusCode)
+	}
+}
+
 func TestRequestParsing(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,14 @@
 // expected within one such part. Callers retry refused calls within a third of their time.
 const pastObjectiveDivisor = 2
 
+const (
+	// maxBodyBytesBeingRead bounds the bodies that a node reads from its upstreams at the same time.
+	maxBodyBytesBeingRead = 32 << 20
+	// maxInitialBodyBytes is the most memory that a body gets before its bytes have arrived.
+	maxInitialBodyBytes = 128 << 10
+	bodyStepBytes       = 64 << 10
+)
+
 // crashInterval is the time within which all calls that fail because their upstream crashed count as one failure.
 const crashInterval = time.Second
 
@@ -196,20 +205,39 @@
 	}
 }
 
-func readBody(response *http.Response, maxBytes int64) ([]byte, error) {
+// readBody reads a body in steps that grow with what has arrived, whatever length the response claims to have.
+func readBody(response *http.Response, maxBytes int64, bodies *bodyBudget) ([]byte, error) {
 	if response.ContentLength > maxBytes {
 		return nil, &ResponseTooLargeError{Limit: maxBytes}
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, max(response.ContentLength+bytes.MinRead, bytes.MinRead)))
-	if _, err := buffer.ReadFrom(io.LimitReader(response.Body, maxBytes+1)); err != nil {
-		return nil, &IncompleteResponseError{Cause: err}
-	}
-	if int64(buffer.Len()) > maxBytes {
-		return nil, &ResponseTooLargeError{Limit: maxBytes}
+	buffer := bytes.NewBuffer(make([]byte, 0, min(max(response.ContentLength, 0), maxInitialBodyBytes)+bytes.MinRead))
+	defer func() { bodies.release(int64(buffer.Len())) }()
+	for {
+		part, err := io.CopyN(buffer, response.Body, bodyStepBytes)
+		switch {
+		case !bodies.take(part):
+			return nil, &ResponseTooLargeError{Limit: maxBodyBytesBeingRead}
+		case int64(buffer.Len()) > maxBytes:
+			return nil, &ResponseTooLargeError{Limit: maxBytes}
+		case errors.Is(err, io.EOF):
+			return buffer.Bytes(), nil
+		case err != nil:
+			return nil, &IncompleteResponseError{Cause: err}
+		}
 	}
-	return buffer.Bytes(), nil
 }
 
+// bodyBudget bounds the bytes of all bodies that are being read at the same time, so that upstreams which send without end do
+// not use up the memory of the process.
+type bodyBudget struct {
+	held atomic.Int64
+}
+
+// take adds bytes that were read and reports whether there is room for them.
+func (b *bodyBudget) take(bytes int64) bool { return b.held.Add(bytes) <= maxBodyBytesBeingRead }
+
+func (b *bodyBudget) release(bytes int64) { b.held.Add(-bytes) }
+
 // classifyError returns the answer and the result of a call without a complete response. Only if no connection could be
 // established is it certain that the call did not run.
 func (u *upstream) classifyError(ctx context.Context, head *wirepb.CallHead, err error) (*wirepb.AnswerHead, Result) {
--- a/internal/local/conn.go
+++ b/internal/local/conn.go
@@ -24,13 +24,18 @@
 	// maxResponsesPerCall bounds the responses that are read for one call; those to earlier calls and interim ones (1xx) are
 	// skipped.
 	maxResponsesPerCall = 4
+	// maxHeadBytes bounds the head of a response, an interim one included.
+	maxHeadBytes        = 64 << 10
+	chunkOverheadFactor = 8
 )
 
 // connPool holds the idle connections to one upstream; a connection serves one call at a time.
 type connPool struct {
 	address netip.AddrPort
-	dial    func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
-	now     func() time.Time
+	// bodies bounds the bodies that are being read.
+	bodies *bodyBudget
+	dial   func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	now    func() time.Time
 
 	mu     sync.Mutex
 	closed bool
@@ -40,14 +45,15 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	limited *io.LimitedReader
+	reader  *bufio.Reader
 	// expires is when the connection may no longer be reused.
 	expires time.Time
 	reused  bool
 }
 
-func newConnPool(address netip.AddrPort, now func() time.Time) *connPool {
-	return &connPool{address: address, now: now, dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+func newConnPool(address netip.AddrPort, bodies *bodyBudget, now func() time.Time) *connPool {
+	return &connPool{address: address, bodies: bodies, now: now, dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 		return (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", address.String())
 	}}
 }
@@ -68,7 +74,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, connBufferBytes)}, nil
+	limited := &io.LimitedReader{R: dialled}
+	return &conn{Conn: dialled, limited: limited, reader: bufio.NewReaderSize(limited, connBufferBytes)}, nil
 }
 
 func (c *connPool) popIdle() *conn {
@@ -142,7 +149,7 @@
 		_ = connection.Close()
 		return nil, &IncompleteResponseError{Cause: err, Reused: connection.reused}
 	}
-	received, err := connection.readResponse(request, idHeader, id, maxBytes)
+	received, err := connection.readResponse(request, responseLimits{idHeader: idHeader, id: id, maxBodyBytes: maxBytes, bodies: c.bodies})
 	if err != nil {
 		_ = connection.Close()
 		return nil, err
@@ -155,22 +162,33 @@
 	return received, nil
 }
 
-// readResponse reads the response to a request. It skips responses to earlier calls, which carry another id.
-func (c *conn) readResponse(request *http.Request, idHeader, id string, maxBytes int64) (*fullResponse, error) {
+// responseLimits says which response is expected and how large it may be.
+type responseLimits struct {
+	idHeader     string
+	id           string
+	maxBodyBytes int64
+	bodies       *bodyBudget
+}
+
+// readResponse reads the response to a request. It skips responses to earlier calls, which carry another id. After an error the
+// connection must be closed: the upstream may go on sending without end.
+func (c *conn) readResponse(request *http.Request, limits responseLimits) (*fullResponse, error) {
 	for range maxResponsesPerCall {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
-			return nil, &IncompleteResponseError{Cause: err, Reused: c.reused}
+			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := readBody(response, maxBytes)
-		_ = response.Body.Close()
+		// Chunks of a byte each take several times the size of the body.
+		c.limited.N = chunkOverheadFactor*limits.maxBodyBytes + maxHeadBytes
+		body, err := readBody(response, limits.maxBodyBytes, limits.bodies)
 		if err != nil {
 			return nil, err
 		}
-		if echoed := response.Header.Get(idHeader); echoed == "" || echoed == id {
+		_ = response.Body.Close()
+		if echoed := response.Header.Get(limits.idHeader); echoed == "" || echoed == limits.id {
 			return &fullResponse{response: response, body: body}, nil
 		}
 		if response.Close {
@@ -180,6 +198,19 @@
 	return nil, &IncompleteResponseError{Cause: io.ErrUnexpectedEOF, Reused: c.reused}
 }
 
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.limited.N = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	switch {
+	case err != nil && c.limited.N <= 0:
+		return nil, &EndlessHeadError{Limit: maxHeadBytes}
+	case err != nil:
+		return nil, &IncompleteResponseError{Cause: err, Reused: c.reused}
+	default:
+		return response, nil
+	}
+}
+
 // idleTimeout returns how long the upstream keeps an idle connection, from the Keep-Alive header of its response.
 func idleTimeout(response *http.Response) time.Duration {
 	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
--- a/internal/local/conn_test.go
+++ b/internal/local/conn_test.go
@@ -73,7 +73,7 @@
 			id := r.Header.Get(idHeader)
 			_, _ = io.WriteString(conn, formatResponse(id, "of "+id)+formatResponse(id, "again"))
 			return true
-		}), time.Now)
+		}), &bodyBudget{}, time.Now)
 		requireBody(t, c, "1", "of 1")
 		requireBody(t, c, "2", "of 2")
 	})
@@ -83,14 +83,14 @@
 			_, _ = io.WriteString(conn, formatResponse("0", "stray"))
 			_, _ = io.WriteString(conn, formatResponse(id, "of "+id))
 			return true
-		}), time.Now)
+		}), &bodyBudget{}, time.Now)
 		requireBody(t, c, "1", "of 1")
 	})
 	t.Run("only responses to other calls", func(t *testing.T) {
 		c := newConnPool(serveScript(t, func(conn net.Conn, _ *http.Request) bool {
 			_, _ = io.WriteString(conn, formatResponse("0", "stray"))
 			return false
-		}), time.Now)
+		}), &bodyBudget{}, time.Now)
 		_, err := sendCall(t, c, "1")
 		var incomplete *IncompleteResponseError
 		require.ErrorAs(t, err, &incomplete)
@@ -104,7 +104,7 @@
 		c := newConnPool(serveScript(t, func(conn net.Conn, _ *http.Request) bool {
 			_, _ = io.WriteString(conn, unframed)
 			return false
-		}), time.Now)
+		}), &bodyBudget{}, time.Now)
 		requireBody(t, c, "1", "part")
 	})
 	t.Run("connection reset", func(t *testing.T) {
@@ -112,7 +112,7 @@
 			_, _ = io.WriteString(conn, unframed)
 			_ = conn.(*net.TCPConn).SetLinger(0)
 			return false
-		}), time.Now)
+		}), &bodyBudget{}, time.Now)
 		_, err := sendCall(t, c, "1")
 		require.Error(t, err, "a truncated response was taken as complete")
 	})
@@ -134,7 +134,7 @@
 			c := newConnPool(serveScript(t, func(conn net.Conn, r *http.Request) bool {
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", idHeader, r.Header.Get(idHeader), tt.header)
 				return true
-			}), time.Now)
+			}), &bodyBudget{}, time.Now)
 			dials, dial := 0, c.dial
 			c.dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 				dials++
--- a/internal/local/errors.go
+++ b/internal/local/errors.go
@@ -13,7 +13,7 @@
 	return fmt.Sprintf("invalid announcement: field %s has value %q: must be %s", e.Field, e.Value, e.Allowed)
 }
 
-// ResponseTooLargeError says that the body of an upstream's response exceeds the limit in bytes.
+// ResponseTooLargeError says that the body of an upstream's response, or all bodies that are being read, exceed the limit in bytes.
 type ResponseTooLargeError struct {
 	Limit int64
 }
@@ -22,6 +22,15 @@
 	return fmt.Sprintf("response body exceeds %d bytes", e.Limit)
 }
 
+// EndlessHeadError says that the head of an upstream's response exceeds the limit in bytes.
+type EndlessHeadError struct {
+	Limit int64
+}
+
+func (e *EndlessHeadError) Error() string {
+	return fmt.Sprintf("response head exceeds %d bytes", e.Limit)
+}
+
 // IncompleteResponseError says that a connection ended before the whole response to a call was received.
 type IncompleteResponseError struct {
 	Cause error
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -91,6 +91,8 @@
 	CheckExposure func(exposure Exposure) wirepb.Refusal
 	// Observe is called with the result of each call that is not inconclusive.
 	Observe func(observation Observation)
+	// bodies is shared by all upstreams.
+	bodies *bodyBudget
 	// OnUpstreamsChange is called with the upstreams that accept calls after they changed.
 	OnUpstreamsChange func(upstreams []*wirepb.MemberUpstream)
 }
@@ -119,6 +121,7 @@
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
+	cfg.bodies = &bodyBudget{}
 	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, deregistered: map[string]time.Time{}, outboundFailures: map[string]time.Time{}}
 }
 
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -57,7 +57,7 @@
 		limiter: admit.NewLimiter(admit.Config{
 			Slots: int(a.GetSlots()), QueueSize: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
 		}),
-		pool: newConnPool(address, cfg.Now), headers: cfg.Headers,
+		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers,
 	}
 	if a.GetStarted() != nil {
 		u.started = a.GetStarted().AsTime()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -128,7 +128,7 @@
 	}
 	n.peerServer = peer.NewServer(peer.ServerConfig{
 		Listener: peerListener, MaxHeadBytes: n.settings.MaxBodyBytes + headReserveBytes,
-		ServeCall: n.serveCall, ServeLink: n.hub.ServeLink, HandleEvidence: n.handleEvidence, HandleInvitation: n.hub.HandleInvitation,
+		OnPanic: n.logPanic, ServeCall: n.serveCall, ServeLink: n.hub.ServeLink, HandleEvidence: n.handleEvidence, HandleInvitation: n.hub.HandleInvitation,
 	})
 	return nil
 }
@@ -233,7 +233,7 @@
 func (n *Node) startCallerServer(group *errgroup.Group, ctx context.Context) {
 	n.callerServer = front.New(front.Config{
 		Handler: n.proxy, RefusalHandler: http.HandlerFunc(n.proxy.RefuseWhileStopping), Limits: n.callerLimits,
-		OnInvalidRequest: func() { n.metrics.CountInvalidInput("caller") },
+		OnInvalidRequest: func() { n.metrics.CountInvalidInput("caller") }, OnPanic: n.logPanic,
 	})
 	group.Go(func() error {
 		n.awaitConfiguration(ctx)
@@ -242,6 +242,10 @@
 	})
 }
 
+func (n *Node) logPanic(value any, stack []byte) {
+	n.logger.Error("panic while serving a request", zap.Any("value", value), zap.ByteString("stack", stack))
+}
+
 // callerLimits returns the limits for callers: those of the settings tree where set, else the defaults. The body limit of the
 // node's settings is never exceeded.
 func (n *Node) callerLimits() front.Limits {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -28,6 +28,9 @@
 	s := NewServer(ServerConfig{
 		Listener: listener, MaxHeadBytes: maxHeadBytes,
 		ServeCall: func(_ context.Context, conn net.Conn, head *wirepb.CallHead) {
+			if head.GetCallId() == "panic" {
+				panic("a fault of the handler")
+			}
 			_ = frame.Write(conn, &wirepb.AnswerHead{CallId: head.GetCallId()})
 		},
 		ServeLink:      func(context.Context, net.Conn, *bufio.Reader, *wirepb.LinkHello) {},
@@ -102,6 +105,21 @@
 	}
 }
 
+// A panic costs the stream that it happens in, not the process, the session or other streams.
+func TestPanicEndsOneStream(t *testing.T) {
+	s, address := newServer(t)
+	p := newPool(t)
+	requireAnswer(t, p, address)
+	stream, err := p.OpenStream(t.Context(), address)
+	require.NoError(t, err)
+	defer func() { _ = stream.Close() }()
+	require.NoError(t, frame.Write(stream, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Call{Call: &wirepb.CallHead{CallId: "panic"}}}))
+	require.Error(t, frame.Read(stream.Reader, &wirepb.AnswerHead{}, maxHeadBytes))
+	requireAnswer(t, p, address)
+	require.Equal(t, uint64(1), s.Rejected.Load())
+	require.Equal(t, 1, s.SessionCount())
+}
+
 func TestUnreachableNodeFailsAtOnceAndBacksOff(t *testing.T) {
 	p := newPool(t)
 	_, err := p.OpenStream(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"))
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	ServeLink        func(ctx context.Context, conn net.Conn, reader *bufio.Reader, hello *wirepb.LinkHello)
 	HandleEvidence   func(conn net.Conn, report *wirepb.EvidenceReport)
 	HandleInvitation func(invitation *wirepb.LinkRedirect)
+	// OnPanic is called with the value and the stack of a panic in a handler, which ends only the stream; nil ignores it.
+	OnPanic func(value any, stack []byte)
 }
 
 // Server accepts sessions from other nodes and passes each stream to the handler for its kind.
@@ -105,6 +108,7 @@
 
 func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
+	defer s.recoverPanic()
 	reader := bufio.NewReader(stream)
 	head := &wirepb.StreamHead{}
 	_ = stream.SetReadDeadline(time.Now().Add(headTimeout))
@@ -127,6 +131,17 @@
 	}
 }
 
+func (s *Server) recoverPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	s.Rejected.Add(1)
+	if s.cfg.OnPanic != nil {
+		s.cfg.OnPanic(value, debug.Stack())
+	}
+}
+
 // serveCalls serves the calls of a stream one after the other. It reads the next head while a call runs, so that the
 // end of the stream cancels the call.
 func (s *Server) serveCalls(ctx context.Context, stream net.Conn, reader *bufio.Reader, first *wirepb.CallHead) {
