--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -238,11 +238,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := p.dial(ctx, s.address)
-	if err == nil && p.crossesWAN(s.address) {
-		conn, err = requestCompression(conn)
-	}
 	if err == nil {
-		s.mux, err = yamux.Client(&coalescingConn{Conn: conn}, sessionConfig())
+		s.mux, err = p.startSession(conn, s.address)
 	}
 	if err != nil {
 		s.err = err
@@ -261,6 +258,24 @@
 	p.removeSession(s)
 }
 
+// startSession begins a session on a dialled connection, which it closes if that fails.
+func (p *Pool) startSession(conn net.Conn, address netip.AddrPort) (*yamux.Session, error) {
+	session := conn
+	if p.crossesWAN(address) {
+		compressed, err := requestCompression(conn)
+		if err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		session = compressed
+	}
+	mux, err := yamux.Client(&coalescingConn{Conn: session}, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+	}
+	return mux, err
+}
+
 // SetWAN records whether a node, which PoolConfig.IsWAN may not know, is in another data centre.
 func (p *Pool) SetWAN(address netip.AddrPort, wan bool) {
 	p.mu.Lock()
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -98,14 +98,19 @@
 }
 
 func (i *Importer) readTable(ctx context.Context) error {
-	from := ""
+	from, first := "", uint64(0)
 	for {
 		page, err := i.cfg.Store.TablePage(ctx, platform.OperatorTable, from, "", maxPageRows)
 		if err != nil {
 			return err
 		}
 		i.applyPage(page)
+		if first == 0 {
+			first = page.Version
+		}
 		if !page.More || len(page.Rows) == 0 {
+			// Rows of earlier pages may have changed since: the feed must go on from the first page.
+			i.cursor = first
 			return nil
 		}
 		from = page.Rows[len(page.Rows)-1].GetKey() + "\x00"
--- a/internal/source/import_test.go
+++ b/internal/source/import_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
@@ -189,3 +190,27 @@
 		f.waitFor(log, "second move", func(s *tree.State) bool { return s.Services["shop"].MoveRecord.GetTo() == "v3" })
 	})
 }
+
+// A row of the first page changes while a later page is read. The feed must deliver that change.
+func TestRowThatChangesWhileTableIsReadIsNotSkipped(t *testing.T) {
+	const key = "a-first"
+	table := emul.NewPlatform(emul.PlatformConfig{})
+	table.PutRow(platform.OperatorTable, key, []byte("old"))
+	for n := range maxPageRows + 1 {
+		table.PutRow(platform.OperatorTable, fmt.Sprintf("b-%04d", n), []byte("row"))
+	}
+	pages, handler := 0, table.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if pages++; pages == 2 {
+			table.PutRow(platform.OperatorTable, key, []byte("new"))
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	client := store.New(store.Config{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Timeout: time.Second})
+	t.Cleanup(client.Close)
+	i := New(Config{Logger: zap.NewNop(), Now: time.Now, Store: client})
+	require.NoError(t, i.readChanges(t.Context()))
+	require.NoError(t, i.readChanges(t.Context()))
+	require.Equal(t, "new", string(i.rows[key].GetValue()))
+}
