Do not take sheds of upstreams for saturation

Half of the calls of a service were shed by faulty upstreams, which the throttle counted as refusals for overload. Change: only refusals of the upstreams' nodes count.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -55,7 +55,7 @@
 			arrived++
 			c.head.Repeated = true
 		}
-		if answer.GetRefusal() == wirepb.Refusal_REFUSAL_OVERLOADED {
+		if answer.GetRefusal() == wirepb.Refusal_REFUSAL_OVERLOADED && !answer.GetArrived() {
 			overloaded++
 		}
 		refused = refusalToReport(refused, answer)
--- a/internal/route/throttle.go
+++ b/internal/route/throttle.go
@@ -20,8 +20,9 @@
 	saturatedTries = 3
 )
 
-// throttle refuses calls at the caller's node while the upstreams of their service refuse most calls of their class: a call
+// throttle refuses calls at the caller's node while the nodes of a service's upstreams refuse most calls of their class: a call
 // that would be refused everywhere costs a try at each upstream, and these tries take the processor time that other calls need.
+// Calls that upstreams shed themselves do not count: these may be faulty, and the retry budget bounds them.
 type throttle struct {
 	now func() time.Time
 
