--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -98,12 +98,6 @@
 	h.nodeRows = append(slices.Clone(h.nodeRows), h.decodeNodeRows(rows)...)
 }
 
-func (h *Hub) isLeaving() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.leaving
-}
-
 // readNodeRows reads the rows of the data centre's nodes and reports whether it could.
 func (h *Hub) readNodeRows(ctx context.Context) bool {
 	rows, err := h.cfg.Store.Range(ctx, h.nodeRowPrefix(), "", maxNodeRows)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -29,57 +29,84 @@
 	if c.head.GetRepeated() {
 		p.retryBudget.charge(c.service.Name)
 	}
-	group := p.assignGroup(c)
-	toNew := group == move.GroupNew
-	c.head.Control = group == move.GroupControl
-	var ran *wirepb.AnswerHead
-	refused := &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM}
+	t := newTries(c)
 	throttled := throttleKey{service: c.service.Name, class: c.route.Class}
 	overloadTries := p.throttle.admit(throttled)
 	if overloadTries == 0 {
-		refused.Refusal = wirepb.Refusal_REFUSAL_OVERLOADED
-		return refused
+		t.refused.Refusal = wirepb.Refusal_REFUSAL_OVERLOADED
+		return t.refused
 	}
-	arrived, overloaded := 0, 0
+	group := p.assignGroup(c)
+	toNew := group == move.GroupNew
+	c.head.Control = group == move.GroupControl
 	for i := 1; ; i++ {
-		answer := refused
+		answer := t.refused
 		chosen := p.chooseUpstream(c, toNew)
 		if chosen != nil {
 			c.tried[chosen.stats] = true
-			answer = p.attempt(ctx, c, chosen, toNew && arrived+1 < c.route.Attempts)
+			answer = p.attempt(ctx, c, chosen, toNew && t.arrived+1 < c.route.Attempts)
 		}
 		if toNew {
 			p.confirmFailure(c, answer)
 		}
-		if answer.GetArrived() || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
-			arrived++
-			c.head.Repeated = true
-		}
-		if answer.GetRefusal() == wirepb.Refusal_REFUSAL_OVERLOADED && !answer.GetArrived() {
-			overloaded++
-		}
-		refused = refusalToReport(refused, answer)
-		// When a retry is refused, an earlier try may still have run.
-		if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && ran != nil {
-			answer = ran
-		}
-		if chosen == nil || i == maxTries || overloaded == overloadTries || arrived >= c.route.Attempts || p.expired(ctx, c) || !p.allowRetry(c, answer, toNew) {
-			if overloaded == 0 || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
+		answer = t.record(c, answer)
+		last := chosen == nil || i == maxTries || t.overloaded == overloadTries || t.arrived >= c.route.Attempts || p.expired(ctx, c)
+		if last || !p.allowRetry(c, answer, toNew) {
+			if t.overloaded == 0 || answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
 				p.throttle.accept(throttled)
 			}
-			if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
-				return refused
-			}
-			return answer
-		}
-		if answer.GetOutcome() != wirepb.Outcome_OUTCOME_NOT_RUN {
-			ran = answer
+			return t.toReport(answer)
 		}
 		toNew, c.head.Control = false, false
 		p.cfg.OnRetry()
 	}
 }
 
+// tries is what the tries of one call have shown.
+type tries struct {
+	// refused is the refusal to report if no try ran, ran the newest answer of one that may have run, or nil.
+	refused *wirepb.AnswerHead
+	ran     *wirepb.AnswerHead
+	// arrived and overloaded are the numbers of tries that reached an upstream, and that its node refused for overload.
+	arrived    int
+	overloaded int
+}
+
+func newTries(c *call) *tries {
+	return &tries{refused: &wirepb.AnswerHead{
+		CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_NO_UPSTREAM,
+	}}
+}
+
+// record adds the answer of a try and returns what is known of the call: when a retry is refused, an earlier try may still
+// have run.
+func (t *tries) record(c *call, answer *wirepb.AnswerHead) *wirepb.AnswerHead {
+	notRun := answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN
+	if answer.GetArrived() || !notRun {
+		t.arrived++
+		c.head.Repeated = true
+	}
+	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_OVERLOADED && !answer.GetArrived() {
+		t.overloaded++
+	}
+	t.refused = refusalToReport(t.refused, answer)
+	if notRun && t.ran != nil {
+		return t.ran
+	}
+	if !notRun {
+		t.ran = answer
+	}
+	return answer
+}
+
+// toReport returns the answer for the caller, given the last one.
+func (t *tries) toReport(answer *wirepb.AnswerHead) *wirepb.AnswerHead {
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
+		return t.refused
+	}
+	return answer
+}
+
 // confirmFailure starts a confirmation when a call of an idempotent route to the new version failed with a 5xx status.
 func (p *Proxy) confirmFailure(c *call, answer *wirepb.AnswerHead) {
 	if c.route.Idempotent && answer.GetStatus() >= http.StatusInternalServerError {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"sort"
 	"sync"
@@ -12,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/turmericdale/turmericdale/internal/member"
-	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
 // The pick policies.
@@ -29,13 +27,6 @@
 	// becomes free.
 	overloadTTL = 30 * time.Millisecond
 
-	latencyWeight           = 0.2
-	firstEjectionDuration   = 500 * time.Millisecond
-	maxEjectionDuration     = 10 * time.Second
-	leavingEjectionDuration = time.Second
-	unknownsBeforeEjection  = 3
-
-	faultRateWeight = 0.1
 	// faultRateMargin is how far the fault rate of an upstream may lie above the lowest one before calls avoid it.
 	faultRateMargin = 0.2
 	// probeFraction is the fraction of calls for which faults are ignored, to notice when they end.
@@ -96,25 +87,6 @@
 	stats    *stats
 }
 
-type statsKey struct {
-	node    string
-	life    uint64
-	service string
-	version string
-}
-
-type stats struct {
-	inFlight            int
-	latency             time.Duration
-	loadPermille        uint32
-	loadAt              time.Time
-	unknownsSinceAnswer int
-	ejections           int
-	ejectedUntil        time.Time
-	// faultRate is the moving average of the share of calls that failed or were shed by the upstream itself.
-	faultRate float64
-}
-
 // NewPicker returns a picker.
 func NewPicker(cfg PickerConfig) *Picker {
 	if cfg.IsSuspect == nil {
@@ -242,8 +214,6 @@
 	return time.Duration(float64(once) / (1 - min(c.stats.faultRate, maxCostFaultRate)))
 }
 
-func (s *stats) isAvailable(now time.Time) bool { return !now.Before(s.ejectedUntil) }
-
 // isSaturated reports whether a call would have to wait for a slot.
 func (c *candidate) isSaturated(now time.Time) bool {
 	if c.stats.inFlight >= int(c.upstream.Slots) {
@@ -327,69 +297,6 @@
 	return list
 }
 
-// tryResult is what became of sending a call to an upstream.
-type tryResult struct {
-	answer *wirepb.AnswerHead
-	took   time.Duration
-	// transportFailed means that the connection to the upstream's node failed.
-	transportFailed bool
-	// abandoned means that the caller gave the call up.
-	abandoned bool
-}
-
-// recordResult updates the upstream's statistics with the result of a call.
-func (p *Picker) recordResult(c *candidate, result tryResult) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s, now, answer := c.stats, p.cfg.Now(), result.answer
-	s.inFlight--
-	if !result.abandoned {
-		s.recordFault(answer)
-	}
-	switch answer.GetOutcome() {
-	case wirepb.Outcome_OUTCOME_ANSWERED:
-		s.unknownsSinceAnswer, s.ejections = 0, 0
-		s.latency += time.Duration(latencyWeight * float64(result.took-s.latency))
-	case wirepb.Outcome_OUTCOME_NOT_RUN:
-		s.recordRefusal(answer.GetRefusal(), now)
-	default:
-		s.unknownsSinceAnswer++
-		if result.transportFailed || s.unknownsSinceAnswer >= unknownsBeforeEjection {
-			s.eject(now)
-		}
-	}
-}
-
-// recordFault updates the fault rate. Refusals of the upstream's node and failures of services that the upstream calls say
-// nothing about the upstream.
-func (s *stats) recordFault(answer *wirepb.AnswerHead) {
-	fault := 0.0
-	switch {
-	case answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN && !answer.GetArrived(), answer.GetDependencyFailed():
-		return
-	case answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED, answer.GetStatus() >= http.StatusInternalServerError:
-		fault = 1
-	}
-	s.faultRate += faultRateWeight * (fault - s.faultRate)
-}
-
-func (s *stats) recordRefusal(refusal wirepb.Refusal, now time.Time) {
-	switch refusal {
-	case wirepb.Refusal_REFUSAL_UNREACHABLE:
-		s.eject(now)
-	case wirepb.Refusal_REFUSAL_NO_UPSTREAM, wirepb.Refusal_REFUSAL_LEAVING:
-		s.ejectedUntil = now.Add(leavingEjectionDuration)
-	case wirepb.Refusal_REFUSAL_OVERLOADED:
-		s.loadPermille, s.loadAt = fullLoadPermille, now
-	}
-}
-
-func (s *stats) eject(now time.Time) {
-	duration := min(firstEjectionDuration<<min(s.ejections, 8), maxEjectionDuration)
-	s.ejections++
-	s.ejectedUntil = now.Add(duration/2 + rand.N(duration/2))
-}
-
 // Run keeps connections to the subsets in use open until the context ends.
 func (p *Picker) Run(ctx context.Context, changed func() <-chan struct{}) {
 	ticker := time.NewTicker(refreshInterval)
