Admit calls without a time limit to the link

Cause: read in the diff: a call without a time left has no due time, which the link took for one long past. Change: such a call is admitted and waits for its turn.

--- a/internal/egress/limiter.go
+++ b/internal/egress/limiter.go
@@ -49,7 +49,7 @@
 // Request describes a call whose response will use the link.
 type Request struct {
 	Route string
-	// RespondBy is when the response is due.
+	// RespondBy is when the response is due, or zero if it may take any time.
 	RespondBy time.Time
 	// Secondary means that the response goes to another data centre or cannot meet the call's latency objective any more.
 	Secondary bool
@@ -81,7 +81,8 @@
 	if request.Secondary {
 		left = time.Duration(secondaryFraction * float64(left))
 	}
-	if time.Duration(sizeMargin*float64(l.backlog(now)+l.duration(expected))) > left {
+	sent := time.Duration(sizeMargin * float64(l.backlog(now)+l.duration(expected)))
+	if !request.RespondBy.IsZero() && sent > left {
 		return nil, false
 	}
 	l.expected += expected
--- a/internal/egress/limiter_test.go
+++ b/internal/egress/limiter_test.go
@@ -130,6 +130,12 @@
 		_, admitted = l.Reserve(request)
 		require.True(t, admitted)
 	})
+	t.Run("a call without a limit waits for its turn", func(t *testing.T) {
+		l := newLearned()
+		l.freeAt = now.Add(time.Hour)
+		_, admitted := l.Reserve(Request{Route: "download"})
+		require.True(t, admitted)
+	})
 	t.Run("routes with small responses are not limited", func(t *testing.T) {
 		l := newLearned()
 		_, admitted := l.Reserve(Request{Route: "lookup", RespondBy: now})
