--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -203,14 +203,13 @@
 	f := newFixture(t)
 	f.proxy.retryBudget = newRetryBudget(RetryBudgetConfig{Ratio: boundRatio, Slack: 100, CountNodes: func() int { return 1 }})
 	finish := make(chan struct{})
+	t.Cleanup(func() { close(finish) })
 	f.handler = func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/parent" {
 			<-finish
 		}
 	}
-	ended := make(chan struct{})
 	go func() {
-		defer close(ended)
 		f.proxy.cfg.Local.Call(t.Context(), &wirepb.CallHead{
 			CallId: "parent", Service: "shop", Version: "v1", Method: http.MethodGet, Target: []byte("/parent"),
 			TimeLeft: durationpb.New(time.Minute), Repeated: true,
@@ -219,8 +218,6 @@
 	require.Eventually(t, func() bool { return f.proxy.cfg.Local.RepeatedFraction() == 1 }, 5*time.Second, time.Millisecond)
 	requireOutcome(t, f.send("/read", ""), http.StatusOK, OutcomeAnswered)
 	require.InDelta(t, ratioFraction*boundRatio-1, f.proxy.retryBudget.services["shop"].tokens, 1e-9)
-	close(finish)
-	<-ended
 }
 
 // An answer with the id of another call must not reach the caller: the outcome of the call is unknown.
