--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -300,12 +300,20 @@
 	if newest-head.GetSnapshotRevision() < changesPerSnapshot || !l.storingSnapshot.CompareAndSwap(false, true) {
 		return
 	}
-	l.tasks.Go(func() {
-		defer l.storingSnapshot.Store(false)
-		if err := l.storeSnapshot(ctx); err != nil {
-			l.logger.Warn("could not store snapshot", zap.Uint64("revision", newest), zap.Error(err))
+	l.tasks.Go(func() { l.storeSnapshots(ctx) })
+}
+
+// storeSnapshots stores snapshots until none is due: changes may be committed while one is stored.
+func (l *Log) storeSnapshots(ctx context.Context) {
+	for due := true; due; {
+		revision := l.State().Revision
+		err := l.storeSnapshot(ctx)
+		if err != nil {
+			l.logger.Warn("could not store snapshot", zap.Uint64("revision", revision), zap.Error(err))
 		}
-	})
+		l.storingSnapshot.Store(false)
+		due = err == nil && l.State().Revision-revision >= changesPerSnapshot && l.storingSnapshot.CompareAndSwap(false, true)
+	}
 }
 
 // storeSnapshot stores the current state as an object and names it in the head, then deletes rows and the snapshot that it
--- a/internal/oplog/log_test.go
+++ b/internal/oplog/log_test.go
@@ -123,6 +123,24 @@
 
 const snapshotTimeout = 5 * time.Second
 
+// A snapshot that cannot be read must not keep a new log from the changes that it replaces, as long as their rows are there.
+func TestNewLogReplaysChangesWithoutSnapshot(t *testing.T) {
+	_, address := newPlatform(t)
+	l := newLog(t, address)
+	for i := range changesPerSnapshot {
+		_, err := l.Submit(t.Context(), strconv.Itoa(i), setService(i))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool {
+		head, _, err := l.readHead(t.Context())
+		return err == nil && head.GetSnapshotRevision() == changesPerSnapshot
+	}, snapshotTimeout, time.Millisecond)
+	require.NoError(t, l.store.DeleteObject(t.Context(), snapshotName(changesPerSnapshot)))
+	fresh := newLog(t, address)
+	require.NoError(t, fresh.Sync(t.Context()))
+	require.Equal(t, uint64(changesPerSnapshot), fresh.State().Revision)
+}
+
 // A new log must catch up from the snapshot, because the rows of the oldest changes are deleted.
 func TestNewLogLoadsSnapshot(t *testing.T) {
 	_, address := newPlatform(t)
--- a/internal/oplog/sync.go
+++ b/internal/oplog/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
@@ -71,7 +72,7 @@
 		// what they have committed themselves.
 		if before == 0 && head.GetSnapshotRevision() > 0 {
 			if err := l.loadSnapshot(ctx, head.GetSnapshotRevision()); err != nil {
-				return err
+				l.logger.Warn("could not load snapshot; replaying the changes", zap.Uint64("revision", head.GetSnapshotRevision()), zap.Error(err))
 			}
 		}
 		if err := l.catchUpPage(ctx, head); err != nil {
