Guard the counters of the simulated link

Its earlier runs were without the race detector. Ruled out: the limiter, which has a lock. Change: the simulated link and the counters have locks; checks and bounds are the same.

--- a/internal/egress/limiter_test.go
+++ b/internal/egress/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,23 +31,48 @@
 	worstBacklog                 time.Duration
 }
 
-// playLink plays a load in virtual time: a server runs each admitted call for some time, then the link sends the response. The
-// link sends in order of arrival whatever is written to it, as a real one does.
+// simulatedLink sends what is written to it in order of arrival, as a real one does.
+type simulatedLink struct {
+	mu           sync.Mutex
+	freeAt       time.Time
+	worstBacklog time.Duration
+}
+
+// send returns when the link has sent some bytes.
+func (l *simulatedLink) send(bytes int) {
+	l.mu.Lock()
+	if l.freeAt.Before(time.Now()) {
+		l.freeAt = time.Now()
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(bytes) * bitsPerByte / narrowLink * float64(time.Second)))
+	wait := time.Until(l.freeAt)
+	l.worstBacklog = max(l.worstBacklog, wait)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// playLink plays a load in virtual time: a server runs each admitted call for some time, then the link sends the
+// response.
 func playLink(t *testing.T, load linkLoad, limiter func() *Limiter) linkResult {
 	t.Helper()
 	var result linkResult
+	link := &simulatedLink{}
 	synctest.Test(t, func(t *testing.T) {
 		l, random := limiter(), rand.New(rand.NewPCG(1, 2))
 		warm, _ := l.Reserve(Request{Route: "download", RespondBy: time.Now().Add(objective)})
 		require.NoError(t, warm.Send(t.Context(), averageBody))
-		var linkFreeAt time.Time
+		var mu sync.Mutex
 		for start := time.Now(); time.Since(start) < testDuration; {
 			time.Sleep(time.Duration(random.ExpFloat64() / load.perSecond * float64(time.Second)))
 			dueAt, secondary := time.Now().Add(objective), random.IntN(100) < load.secondaryPercent
-			result.asked++
 			reservation, admitted := l.Reserve(Request{Route: "download", RespondBy: dueAt, Secondary: secondary})
+			mu.Lock()
+			result.asked++
 			if !admitted {
 				result.refused++
+			}
+			mu.Unlock()
+			if !admitted {
 				continue
 			}
 			bytes := int(averageBody * (0.4 + 1.2*random.Float64()))
@@ -55,12 +81,9 @@
 				if reservation.Send(context.Background(), bytes) != nil {
 					return
 				}
-				if linkFreeAt.Before(time.Now()) {
-					linkFreeAt = time.Now()
-				}
-				linkFreeAt = linkFreeAt.Add(time.Duration(float64(bytes) * bitsPerByte / narrowLink * float64(time.Second)))
-				result.worstBacklog = max(result.worstBacklog, time.Until(linkFreeAt))
-				time.Sleep(time.Until(linkFreeAt))
+				link.send(bytes)
+				mu.Lock()
+				defer mu.Unlock()
 				result.served++
 				if secondary {
 					result.secondaryServed++
@@ -73,6 +96,7 @@
 			}()
 		}
 		time.Sleep(time.Minute)
+		result.worstBacklog = link.worstBacklog
 	})
 	t.Logf("%+v", result)
 	return result
