Wait for the calls of the simulated link before its result is read

Cause: the race detector was still red: the result was read without a lock. Change: the test waits for its goroutines instead of for a minute.

--- a/internal/egress/limiter_test.go
+++ b/internal/egress/limiter_test.go
@@ -62,6 +62,7 @@
 		warm, _ := l.Reserve(Request{Route: "download", RespondBy: time.Now().Add(objective)})
 		require.NoError(t, warm.Send(t.Context(), averageBody))
 		var mu sync.Mutex
+		var calls sync.WaitGroup
 		for start := time.Now(); time.Since(start) < testDuration; {
 			time.Sleep(time.Duration(random.ExpFloat64() / load.perSecond * float64(time.Second)))
 			dueAt, secondary := time.Now().Add(objective), random.IntN(100) < load.secondaryPercent
@@ -76,7 +77,7 @@
 				continue
 			}
 			bytes := int(averageBody * (0.4 + 1.2*random.Float64()))
-			go func() {
+			calls.Go(func() {
 				time.Sleep(130 * time.Millisecond)
 				if reservation.Send(context.Background(), bytes) != nil {
 					return
@@ -93,9 +94,9 @@
 				} else {
 					result.inTime++
 				}
-			}()
+			})
 		}
-		time.Sleep(time.Minute)
+		calls.Wait()
 		result.worstBacklog = link.worstBacklog
 	})
 	t.Logf("%+v", result)
