--- a/internal/egress/doc.go
+++ b/internal/egress/doc.go
@@ -1,2 +1,2 @@
-// Package egress shares a VM's link between the large responses that its node sends to other nodes.
+// Package egress shares the network link of a VM between the large responses that its node sends to other nodes.
 package egress
--- a/internal/egress/limiter.go
+++ b/internal/egress/limiter.go
@@ -25,13 +25,13 @@
 
 // Config configures a Limiter.
 type Config struct {
-	// BitsPerSecond is the bandwidth of the link; 0 means that it is not limited.
+	// BitsPerSecond is the bandwidth of the network link; 0 means that it is not limited.
 	BitsPerSecond float64
 	Now           func() time.Time
 }
 
-// Limiter admits calls by what the link can still send until their responses are due, and sends large responses one after the
-// other, so that the queue of the link stays short for everything else.
+// Limiter admits calls by what the network link can still send until their responses are due, and sends large responses one
+// after the other, so that the queue of the link stays short for everything else.
 type Limiter struct {
 	cfg Config
 	// bytesPerSecond is the rate of large responses.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,7 @@
 		Route: head.GetRoute(), RespondBy: local.RespondBy(head, n.now()), Secondary: head.GetForeign() || late,
 	})
 	if !admitted {
-		n.logger.Info("call refused: link is busy", zap.String("id", head.GetCallId()), zap.String("route", head.GetRoute()),
+		n.logger.Info("call refused: network link is busy", zap.String("id", head.GetCallId()), zap.String("route", head.GetRoute()),
 			zap.Bool("foreign", head.GetForeign()), zap.Bool("late", late), zap.Duration("backlog", n.egress.Backlog()))
 		n.writeAnswer(conn, &wirepb.AnswerHead{
 			CallId: head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_OVERLOADED,
