--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -30,7 +30,8 @@
 
 // RetryBudgetConfig bounds the retries of one node; zero values stand for the defaults.
 type RetryBudgetConfig struct {
-	// Ratio is the number of retries that each call adds to the budget, or a little more if Slack is set.
+	// Ratio is the number of retries that each call adds to the budget. With Slack, it bounds the repeats of the whole
+	// deployment, and each call adds ratioFraction of it.
 	Ratio float64
 	// Reserve is the largest number of retries in the budget of a service, and the initial one unless Slack is set.
 	Reserve float64
