--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -326,18 +326,8 @@
 	if err := l.store.PutObject(ctx, snapshotName(snapshot.Revision), snapshot.Data); err != nil {
 		return err
 	}
-	head, version, err := l.readHead(ctx)
-	if err != nil || head.GetSnapshotRevision() >= snapshot.Revision {
-		return err
-	}
-	previous := head.GetSnapshotRevision()
-	head.SnapshotRevision = snapshot.Revision
-	transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: headKey, Version: version}}}
-	if err := addPut(transaction, headKey, head); err != nil {
-		return err
-	}
-	committed, err := l.store.Transact(ctx, transaction)
-	if err != nil || !committed {
+	previous, named, err := l.nameSnapshot(ctx, snapshot.Revision)
+	if err != nil || !named {
 		return err
 	}
 	if err := l.deleteRows(ctx, trimmableKeys(snapshot.Revision)); err != nil || previous == 0 {
@@ -346,6 +336,27 @@
 	return l.store.DeleteObject(ctx, snapshotName(previous))
 }
 
+// nameSnapshot names a snapshot in the head, which commits beside it may change several times, and returns the revision of the
+// snapshot that was named before. It reports false if the head names a newer one, or if commits came first every time.
+func (l *Log) nameSnapshot(ctx context.Context, revision uint64) (uint64, bool, error) {
+	for range maxCommitAttempts {
+		head, version, err := l.readHead(ctx)
+		if err != nil || head.GetSnapshotRevision() >= revision {
+			return 0, false, err
+		}
+		previous := head.GetSnapshotRevision()
+		head.SnapshotRevision = revision
+		transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: headKey, Version: version}}}
+		if err := addPut(transaction, headKey, head); err != nil {
+			return 0, false, err
+		}
+		if committed, err := l.store.Transact(ctx, transaction); err != nil || committed {
+			return previous, committed, err
+		}
+	}
+	return 0, false, nil
+}
+
 // deleteRows deletes rows that a snapshot replaces; those left by a failure are deleted after the next snapshot if they
 // are still among its trimmableKeys.
 func (l *Log) deleteRows(ctx context.Context, keys []string) error {
