Wait in a test for the bytes that follow a response

Trace: 'response head exceeds 65536 bytes', so that the call ended as unknown and got no answer of another. Nothing can be known of bytes that have not come, so that this case is allowed. Change: the test waits until the bytes have come before it makes the next call, and checks as before that the connection is not used. The case that was met is a test of its own now: the call ends with an error, and the next one gets its own answer on another connection.

--- a/internal/local/endless_test.go
+++ b/internal/local/endless_test.go
@@ -98,8 +98,39 @@
 		for i := range int32(3) {
 			requireBody(t, c, "1", "body")
 			require.Equal(t, i+1, connections.Load(), "a connection with bytes of no response was used again")
+			requireNoQuietIdleConnection(t, c)
 		}
 	})
+	t.Run("after a complete response, once the connection is in use again", func(t *testing.T) {
+		c := newConnPool(serveScript(t, func(conn net.Conn, r *http.Request) bool {
+			if id := r.Header.Get(idHeader); id != "2" {
+				_, _ = io.WriteString(conn, formatResponse(id, "of "+id))
+				return true
+			}
+			sendForever(conn, "x", 0)
+			return false
+		}), &bodyBudget{}, time.Now)
+		requireBody(t, c, "1", "of 1")
+		_, err := sendCall(t, c, "2")
+		var endless *EndlessHeadError
+		require.ErrorAs(t, err, &endless)
+		requireBody(t, c, "3", "of 3")
+	})
+}
+
+// requireNoQuietIdleConnection waits until the bytes that follow a response have arrived on each connection that is kept.
+func requireNoQuietIdleConnection(t *testing.T, c *connPool) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, idle := range c.idle {
+			if idle.isReusable() {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second, time.Millisecond)
 }
 
 // Many upstream connections that send large bodies at the same time must not use up the memory of the process.
