Log the evidence with each decision on a move

Change: reports carry the calls that were cut off and those that run; a decider logs them with the counts and thresholds at each step and rejection, for the eight routes with the most calls. No decision changes. Test: TestSummaryShowsCallsWithoutEvidence (needs the new counts; there was nothing that could fail before).

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -67,9 +67,11 @@
 	if head.GetTimeLeft() != nil {
 		head.TimeLeft = durationpb.New(head.GetTimeLeft().AsDuration() - started.Sub(arrived))
 	}
-	sinceFirstCall, endRun := u.sinceFirstCall(started), r.startRun(head.GetRepeated())
+	observation := u.observation(head, started)
+	endRun, endObservation := r.startRun(head.GetRepeated()), r.cfg.ObserveStart(observation)
 	answer, result := u.forward(ctx, head, r.cfg.MaxBodyBytes)
 	endRun()
+	endObservation()
 	took := r.cfg.Now().Sub(started)
 	answer.DependencyFailed = result == ResultFailed && r.dependencyFailed(u.service, started)
 	u.limiter.Release(admission, took)
@@ -81,7 +83,10 @@
 		// The upstream used up the time that it was given: only its latency counts, not the failure.
 		result = ResultAbandoned
 	}
-	r.observe(u, head, result, took, sinceFirstCall)
+	if result != ResultInconclusive {
+		observation.Result, observation.Latency = result, took
+		r.cfg.Observe(observation)
+	}
 	r.cfg.Logger.Info("upstream answered", zap.String("id", head.GetCallId()), zap.String("upstream", u.id),
 		zap.String("version", u.version), zap.Duration("waited", started.Sub(arrived)), zap.Duration("took", took),
 		zap.Stringer("outcome", answer.GetOutcome()), zap.Uint32("status", answer.GetStatus()),
@@ -153,14 +158,12 @@
 	return answer
 }
 
-func (r *Registry) observe(u *upstream, head *wirepb.CallHead, result Result, latency, sinceFirstCall time.Duration) {
-	if result == ResultInconclusive {
-		return
-	}
-	r.cfg.Observe(Observation{
+// observation describes a call that starts on the upstream.
+func (u *upstream) observation(head *wirepb.CallHead, started time.Time) Observation {
+	return Observation{
 		Service: u.service, Version: u.version, Route: head.GetRoute(),
-		Result: result, Latency: latency, SinceFirstCall: sinceFirstCall, FirstCallSeen: u.firstCallSeen, Control: head.GetControl(),
-	})
+		SinceFirstCall: u.sinceFirstCall(started), FirstCallSeen: u.firstCallSeen, Control: head.GetControl(),
+	}
 }
 
 // forward sends the call to the upstream and classifies the response.
--- a/internal/move/controller.go
+++ b/internal/move/controller.go
@@ -181,7 +181,12 @@
 		c.mu.Unlock()
 		return false
 	}
-	worst := tracker.view(service.MoveRecord, now).worstFinding(tracker.baselines)
+	current := tracker.view(service.MoveRecord, now)
+	worst := current.worstFinding(tracker.baselines)
+	var routes []routeSummary
+	if worst.evidence >= rejectThreshold {
+		routes = current.summary(tracker.baselines)
+	}
 	c.mu.Unlock()
 	if worst.evidence < rejectThreshold {
 		return false
@@ -191,25 +196,26 @@
 		DeclaredRevision: service.MoveRecord.GetDeclaredRevision(),
 	})
 	if added {
-		c.cfg.Logger.Warn("new version rejected", zap.String("service", service.Name), zap.String("version", service.MoveRecord.GetTo()), zap.String("reason", worst.reason))
+		c.cfg.Logger.Warn("new version rejected", zap.String("service", service.Name), zap.String("version", service.MoveRecord.GetTo()),
+			zap.String("reason", worst.reason), zap.Any("routes", routes))
 	}
 	return true
 }
 
 func (c *Controller) takeStep(ctx context.Context, service *tree.Service) {
-	next := c.startStepWrite(service)
+	next, routes := c.startStepWrite(service)
 	if next == nil {
 		return
 	}
 	err := c.writeRecord(ctx, service.MoveRecord, next)
 	c.cfg.Logger.Info("move step decided", zap.String("service", service.Name), zap.Stringer("state", next.GetState()),
-		zap.Uint32("share_permille", next.GetSharePermille()), zap.String("reason", next.GetReason()), zap.Error(err))
+		zap.Uint32("share_permille", next.GetSharePermille()), zap.String("reason", next.GetReason()), zap.Uint32("step", next.GetStep()), zap.Any("routes", routes), zap.Error(err))
 	c.finishWrite(service)
 }
 
-// startStepWrite decides on the next record and returns it if it is to be written now. It returns nil if nothing changes,
-// another write is under way or, within reasonWriteInterval of the last write, only the reason changed.
-func (c *Controller) startStepWrite(service *tree.Service) *wirepb.MoveRecord {
+// startStepWrite decides on the next record and returns it, with the evidence for it, if it is to be written now. It returns nil
+// if nothing changes, another write is under way or, within reasonWriteInterval of the last write, only the reason changed.
+func (c *Controller) startStepWrite(service *tree.Service) (*wirepb.MoveRecord, []routeSummary) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tracker := c.trackerFor(service.Name, service.MoveRecord.GetDeclaredRevision())
@@ -226,10 +232,10 @@
 	}
 	next := decide()
 	if next == nil || tracker.writing || onlyReasonChanged(service.MoveRecord, next) && now.Sub(tracker.wroteAt) < reasonWriteInterval {
-		return nil
+		return nil, nil
 	}
 	tracker.writing, tracker.wroteAt = true, now
-	return next
+	return next, current.summary(tracker.baselines)
 }
 
 func (c *Controller) finishWrite(service *tree.Service) {
--- a/internal/move/evidence.go
+++ b/internal/move/evidence.go
@@ -20,6 +20,9 @@
 	totalCalls    uint64
 	// coldStart is nil when the node has no estimate.
 	coldStart *durationpb.Duration
+	// running and oldestRunning are as of the newest report.
+	running       uint32
+	oldestRunning time.Duration
 }
 
 // addReport replaces the counts of the seconds in a report, so that a report received twice is not counted twice.
@@ -36,6 +39,7 @@
 		if len(evidence.GetSamplesMicros()) > 0 {
 			s.samplesMicros = evidence.GetSamplesMicros()
 		}
+		s.running, s.oldestRunning = evidence.GetRunning(), evidence.GetOldestRunning().AsDuration()
 		s.coldStart = longerDuration(s.coldStart, evidence.GetColdStart())
 		for _, c := range evidence.GetSeconds() {
 			s.seconds[c.GetSecond()] = decodeCounts(c)
--- a/internal/move/monitor.go
+++ b/internal/move/monitor.go
@@ -56,6 +56,12 @@
 	slow      cusum
 	shedding  cusum
 	coldStart coldStartEstimator
+	// running holds the start times of the calls that are running.
+	running map[*runningCall]bool
+}
+
+type runningCall struct {
+	startedAt time.Time
 }
 
 // NewMonitor returns a monitor without counts.
@@ -63,6 +69,27 @@
 	return &Monitor{cfg: cfg, services: map[string]*serviceMonitor{}}
 }
 
+// ObserveStart counts a call as running until the returned function is called.
+func (m *Monitor) ObserveStart(o local.Observation) (end func()) {
+	service, found := m.cfg.State().Services[o.Service]
+	if !found {
+		return func() {}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.monitorFor(service).seriesFor(seriesKey{route: o.Route, version: o.Version, control: o.Control})
+	if s == nil {
+		return func() {}
+	}
+	started := &runningCall{startedAt: m.cfg.Now()}
+	s.running[started] = true
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(s.running, started)
+	}
+}
+
 // Observe counts a call and calls OnAlarm if that raises an alarm.
 func (m *Monitor) Observe(o local.Observation) {
 	service, found := m.cfg.State().Services[o.Service]
@@ -82,11 +109,11 @@
 	}
 	baseline := monitor.baselines[o.Route]
 	c := classify(o, baseline, allowedColdStart(service, baseline))
+	now := m.cfg.Now()
+	s.window.add(now, c)
 	if c.calls == 0 {
 		return false
 	}
-	now := m.cfg.Now()
-	s.window.add(now, c)
 	if o.Result == local.ResultOK {
 		s.window.sample(o.Latency)
 		s.coldStart.add(o)
@@ -110,7 +137,7 @@
 		c.sheds = 1
 	case local.ResultAbandoned:
 		if !slow || cold {
-			return counts{}
+			return counts{cutOff: 1}
 		}
 	}
 	if baseline.GetSlow() != nil && !cold && c.sheds == 0 {
@@ -154,7 +181,7 @@
 func (m *serviceMonitor) seriesFor(key seriesKey) *series {
 	s, found := m.series[key]
 	if !found && len(m.series) < maxSeries {
-		s = &series{window: newWindow()}
+		s = &series{window: newWindow(), running: map[*runningCall]bool{}}
 		m.series[key] = s
 	}
 	return s
@@ -180,6 +207,7 @@
 	for key, s := range monitor.series {
 		slow := monitor.baselines[key.route].GetSlow()
 		evidence := s.window.evidence(now, key, slow == nil)
+		evidence.Running, evidence.OldestRunning = s.runningCalls(now)
 		if coldStart, found := s.coldStart.estimate(slow.AsDuration()); slow != nil && found {
 			evidence.ColdStart = durationpb.New(coldStart)
 		}
@@ -198,6 +226,15 @@
 	return report
 }
 
+// runningCalls returns the number of running calls and for how long the oldest of them has been running.
+func (s *series) runningCalls(now time.Time) (uint32, *durationpb.Duration) {
+	oldest := time.Duration(0)
+	for call := range s.running {
+		oldest = max(oldest, now.Sub(call.startedAt))
+	}
+	return uint32(len(s.running)), durationpb.New(oldest)
+}
+
 // UpdateBaselines applies the baselines that a decider sent; one with few calls does not replace one that is known.
 func (m *Monitor) UpdateBaselines(service *tree.Service, baselines []*wirepb.RouteBaseline) {
 	m.mu.Lock()
--- a/internal/move/view.go
+++ b/internal/move/view.go
@@ -20,7 +20,10 @@
 	control history
 	// newTotalCalls is the number of the new version's calls since the move was declared.
 	newTotalCalls uint64
-	samplesMicros []uint32
+	// newRunning is the number of the new version's calls that are running, oldestNewRunning for how long the oldest has been.
+	newRunning       uint32
+	oldestNewRunning time.Duration
+	samplesMicros    []uint32
 	// coldStart is the longest cold start of the stable version, or nil when no node has an estimate.
 	coldStart *durationpb.Duration
 }
@@ -49,6 +52,8 @@
 	case key.version == record.GetTo():
 		target = route.to
 		route.newTotalCalls += s.totalCalls
+		route.newRunning += s.running
+		route.oldestNewRunning = max(route.oldestNewRunning, s.oldestRunning)
 	case key.version == record.GetFrom(), record.GetFrom() == "":
 		route.samplesMicros = append(route.samplesMicros, s.samplesMicros...)
 		route.coldStart = longerDuration(route.coldStart, s.coldStart)
--- a/internal/move/window.go
+++ b/internal/move/window.go
@@ -23,6 +23,8 @@
 	sheds    float64
 	warm     float64
 	slow     float64
+	// cutOff is the number of calls that were cut off before they could count as slow; calls does not include them.
+	cutOff float64
 	// baselineCalls is the number of calls behind the baseline, if that is more than calls.
 	baselineCalls float64
 }
@@ -33,6 +35,7 @@
 	c.sheds += other.sheds
 	c.warm += other.warm
 	c.slow += other.slow
+	c.cutOff += other.cutOff
 }
 
 // served returns the calls that the upstream did not shed.
@@ -145,13 +148,13 @@
 func encodeCounts(second int64, c counts) *wirepb.SecondCounts {
 	return &wirepb.SecondCounts{
 		Second: second, Calls: uint32(c.calls), Failures: uint32(c.failures),
-		Sheds: uint32(c.sheds), Warm: uint32(c.warm), Slow: uint32(c.slow),
+		Sheds: uint32(c.sheds), Warm: uint32(c.warm), Slow: uint32(c.slow), CutOff: uint32(c.cutOff),
 	}
 }
 
 func decodeCounts(s *wirepb.SecondCounts) counts {
 	return counts{
 		calls: float64(s.GetCalls()), failures: float64(s.GetFailures()),
-		sheds: float64(s.GetSheds()), warm: float64(s.GetWarm()), slow: float64(s.GetSlow()),
+		sheds: float64(s.GetSheds()), warm: float64(s.GetWarm()), slow: float64(s.GetSlow()), cutOff: float64(s.GetCutOff()),
 	}
 }
