Keep the list of relays that a proof waited for

Cause: the users saw TestLossOfBothRelaysOfADataCentre panic once with an index out of range: a condition took the first of a list of relays that was empty for a moment. A node that does not tell its status within a second is not in the list, so that it may be empty or short on a busy machine; the panic ended the whole package and hid whatever came first. One failed otherwise, "a new relay in the data centre": both frozen nodes got SIGHUP and SIGCONT from the kernel 0.3 s after they were stopped (their lines say "reload requested by SIGHUP"), since go test ran in the background of a shell that ended then, which orphaned its process group. In a session of its own (setsid) this cannot happen. Change: a proof uses the list that its wait returned, and a condition holds only once there is a relay to ask. What is checked stays.

--- a/test/proof/config_test.go
+++ b/test/proof/config_test.go
@@ -82,7 +82,7 @@
 		}
 	})
 	t.Run("with a relay killed", func(*testing.T) {
-		killed := d.relays()[0]
+		killed := d.awaitRelays("a relay", 1, d.relays)[0]
 		d.kill(killed.Node)
 		d.requireChangeInForce(1)
 		d.startNode(killed)
@@ -90,7 +90,7 @@
 		d.requireChangeInForce(2)
 	})
 	t.Run("with a relay frozen past its lease", func(*testing.T) {
-		frozen := d.relays()[0]
+		frozen := d.awaitRelays("a relay", 1, d.relays)[0]
 		d.signal(frozen.Node, syscall.SIGSTOP)
 		cmd := d.nodes[frozen.Node]
 		delete(d.nodes, frozen.Node)
@@ -145,15 +145,16 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			d := startDeployment(t)
-			d.await(startTimeout, "two relays in the data centre", func() bool { return len(d.relaysIn("dc-a")) == 2 })
-			for _, v := range d.relaysIn("dc-a") {
+			inDataCentre := func() []emul.VM { return d.relaysIn("dc-a") }
+			for _, v := range d.awaitRelays("two relays in the data centre", 2, inDataCentre) {
 				tt.fail(d, v)
 			}
 			d.requireChangeInForce(1)
 			d.await(startTimeout, "a new relay in the data centre", func() bool { return len(d.relaysIn("dc-a")) == 1 })
 			d.requireChangeInForce(2)
 			d.await(startTimeout, "the failed nodes to count as down", func() bool {
-				return int(d.status(d.relays()[0]).GetMembers()) == len(d.nodes)
+				relays := d.relays()
+				return len(relays) > 0 && int(d.status(relays[0]).GetMembers()) == len(d.nodes)
 			})
 		})
 	}
--- a/test/proof/deploy_test.go
+++ b/test/proof/deploy_test.go
@@ -309,6 +309,22 @@
 	return list
 }
 
+// awaitRelays waits until a list of relays has a least length and returns it. A list that is asked for again may be shorter: a
+// node that does not tell its status within a second is not in it.
+func (d *deployment) awaitRelays(what string, least int, list func() []emul.VM) []emul.VM {
+	d.t.Helper()
+	found := make(chan []emul.VM, 1)
+	d.await(startTimeout, what, func() bool {
+		relays := list()
+		if len(relays) < least {
+			return false
+		}
+		found <- relays
+		return true
+	})
+	return <-found
+}
+
 // sendLoad sends loads to all nodes for a time; the returned function waits for the end and returns the requests.
 func (d *deployment) sendLoad(duration time.Duration, loads ...emul.Load) func() []emul.RequestRecord {
 	addresses := make([]netip.AddrPort, 0, len(d.vms))
