--- a/internal/move/burst.go
+++ b/internal/move/burst.go
@@ -1,7 +1,6 @@
 package move
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,7 +43,7 @@
 	case share == 0:
 		return GroupNone
 	case share > maxBurstSharePermille:
-		return newGroupOr(rand.Uint32N(fullSharePermille) < share, GroupNone)
+		return newGroupOr(v.random(fullSharePermille) < share, GroupNone)
 	// A small share is concentrated in a short burst of each period: during a burst the new version serves half of the
 	// whole load, and nearly all of it in the last step before the full share, so that a fault that needs concurrent calls
 	// shows early. The control group is taken from the same bursts, so that a disturbance is not counted against the new
@@ -52,7 +51,7 @@
 	case !inBurst(service.Name, share*fullSharePermille/burstLoadPermille(share), now):
 		return GroupNone
 	default:
-		return newGroupOr(rand.Uint32N(fullSharePermille) < burstLoadPermille(share), GroupControl)
+		return newGroupOr(v.random(fullSharePermille) < burstLoadPermille(share), GroupControl)
 	}
 }
 
--- a/internal/move/verdict.go
+++ b/internal/move/verdict.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -17,13 +18,16 @@
 	// Feed holds the names of the services whose verdicts changed.
 	Feed *feed.Feed
 
+	// random returns a random number below a limit.
+	random func(limit uint32) uint32
+
 	mu       sync.RWMutex
 	services map[string]*wirepb.Verdict
 }
 
 // NewVerdicts returns an empty set.
 func NewVerdicts() *Verdicts {
-	return &Verdicts{Feed: feed.New(), services: map[string]*wirepb.Verdict{}}
+	return &Verdicts{Feed: feed.New(), random: rand.Uint32N, services: map[string]*wirepb.Verdict{}}
 }
 
 // Merge adds a verdict and reports whether it is newer than the one known.
