Do not count a call that its caller's node gave up as a failure

What callers saw: good versions of archive taken back, so that traffic did not move by the deadline. Cause: a node cuts off a call to a new version early enough for another try. If the upstream was on the same node, the registry took the cut for a failure of the version, since only the cause context.Canceled counted as given up; on another node the end of the stream gave that cause. Class: one event, two classifications, by the way it arrives. Change: the registry's own time limit has a cause of its own, NoResponseError; every other end of the context is the caller's. Test: TestCallGivenUpByItsCallerIsNotAFailure, case of the time limit, failed before (result failed, not abandoned). Some slow versions were caught only by this error, so the rest has to follow.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -50,7 +50,7 @@
 // Call runs a call on a local upstream; after an answer with the outcome NOT_RUN it is certain that the call has not run.
 func (r *Registry) Call(ctx context.Context, head *wirepb.CallHead) *wirepb.AnswerHead {
 	arrived := r.cfg.Now()
-	ctx, cancel := context.WithTimeout(ctx, head.GetTimeLeft().AsDuration()+deadlineGraceDuration)
+	ctx, cancel := context.WithTimeoutCause(ctx, head.GetTimeLeft().AsDuration()+deadlineGraceDuration, &NoResponseError{TimeLeft: head.GetTimeLeft().AsDuration()})
 	defer cancel()
 	u := r.leastLoaded(head)
 	if u == nil {
@@ -249,8 +249,9 @@
 		return notRunAnswer(head, wirepb.Refusal_REFUSAL_UNREACHABLE), ResultInconclusive
 	}
 	answer := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error(), Arrived: true}
+	var noResponse *NoResponseError
 	switch {
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case ctx.Err() != nil && !errors.As(context.Cause(ctx), &noResponse):
 		answer.Detail = "the caller's node gave the call up"
 		return answer, ResultAbandoned
 	case u.countsAgainstVersion():
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -277,3 +278,27 @@
 		})
 	}
 }
+
+// Guards against a good version being rejected because a node cut off its calls: a call that the caller's node gives up, for
+// whatever reason and on this node or another, has not failed.
+func TestCallGivenUpByItsCallerIsNotAFailure(t *testing.T) {
+	tests := []struct {
+		name  string
+		cause error
+	}{
+		{"the caller disconnected", context.Canceled},
+		{"the time limit of the attempt passed", context.DeadlineExceeded},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, serve(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			}))
+			ctx, cancel := context.WithCancelCause(t.Context())
+			time.AfterFunc(50*time.Millisecond, func() { cancel(tt.cause) })
+			require.Equal(t, wirepb.Outcome_OUTCOME_UNKNOWN, f.Call(ctx, newHead()).GetOutcome())
+			require.Equal(t, ResultAbandoned, (<-f.observed).Result)
+		})
+	}
+}
--- a/internal/local/errors.go
+++ b/internal/local/errors.go
@@ -1,6 +1,9 @@
 package local
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // AnnouncementError says which field of an announcement is invalid.
 type AnnouncementError struct {
@@ -31,6 +34,13 @@
 	return fmt.Sprintf("response head exceeds %d bytes", e.Limit)
 }
 
+// NoResponseError says that an upstream sent no complete response within the time left for a call.
+type NoResponseError struct {
+	TimeLeft time.Duration
+}
+
+func (e *NoResponseError) Error() string { return fmt.Sprintf("no response within %s", e.TimeLeft) }
+
 // IncompleteResponseError says that a connection ended before the whole response to a call was received.
 type IncompleteResponseError struct {
 	Cause error
