Take the time limit of calls to a new version from their route

What callers saw: calls to a new version cut off after 150 to 700 ms where the stable version takes 0.5 s, and sent again. Cause: the limit was ten times the highest average latency of the stable upstreams, at least 150 ms. The average is over all routes, of which one takes 40 ms and the other 500 ms; it starts at 0 and takes a fifth of each call, and it is 0 on a node that has sent the service no call yet. Class: a default (0) used as if it were measured, and one average over unlike things. Change: an average a route, the first call sets it; without one, only half of the time left bounds the attempt. The test of stopping nodes relied on the 150 ms: it makes the latency known first, and checks the same. Conclusion: needed so that cut-off calls can be evidence at all: a limit below the usual latency says nothing about a version.

--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -18,9 +18,7 @@
 	// most refused calls did not reach an upstream and do not count as attempts.
 	maxTries = 8
 	// frameOverheadBytes is the size that an answer may have for headers and verdicts in addition to its body.
-	frameOverheadBytes      = 128 << 10
-	newVersionTimeoutFactor = 10
-	minNewVersionTimeout    = 150 * time.Millisecond
+	frameOverheadBytes = 128 << 10
 )
 
 // run sends a call to upstreams until one answers or no further try is allowed.
@@ -207,6 +205,9 @@
 		answer: answer, took: took, transportFailed: err != nil && ctx.Err() == nil,
 		abandoned: errors.Is(context.Cause(ctx), context.Canceled),
 	})
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_ANSWERED && chosen.upstream.Version != c.service.MoveRecord.GetTo() {
+		p.latencies.add(c.route, took)
+	}
 	p.logAttempt(c, chosen, answer, took)
 	return answer
 }
@@ -228,7 +229,7 @@
 		return ctx, end
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(p.newVersionTimeout(c, left), func() {
+	timer := time.AfterFunc(p.latencies.newVersionTimeout(c.route, left), func() {
 		if !p.cfg.Stopping() {
 			cancel(context.DeadlineExceeded)
 		}
@@ -240,12 +241,6 @@
 	}
 }
 
-// newVersionTimeout allows several times the latency of the stable version, but leaves half of the time for a retry.
-func (p *Proxy) newVersionTimeout(c *call, left time.Duration) time.Duration {
-	latency := p.cfg.Picker.slowestLatency(c.service.Name, p.cfg.Verdicts.StableVersion(c.service), c.service.MoveRecord.GetTo())
-	return min(max(newVersionTimeoutFactor*latency, minNewVersionTimeout), left/2)
-}
-
 // callRemote sends the call to the node of a remote upstream. The outcome is unknown unless the call has certainly not run.
 func (p *Proxy) callRemote(ctx context.Context, chosen *candidate, head *wirepb.CallHead) (*wirepb.AnswerHead, error) {
 	stream, err := p.cfg.Pool.OpenStream(ctx, chosen.upstream.PeerAddress)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -163,23 +163,6 @@
 	return all[p.roundRobinIndex%len(all)]
 }
 
-// slowestLatency returns the highest average latency of the upstreams of a version.
-func (p *Picker) slowestLatency(service, version, except string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	key := subsetKey{service: service, version: version}
-	if version == "" {
-		key.exceptVersion = except
-	}
-	slowest := time.Duration(0)
-	for _, tier := range p.subset(key).tiers {
-		for _, c := range tier {
-			slowest = max(slowest, c.stats.latency)
-		}
-	}
-	return slowest
-}
-
 func filter(list []*candidate, wanted func(c *candidate) bool) []*candidate {
 	var kept []*candidate
 	for _, c := range list {
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -73,6 +73,7 @@
 	throttle      *throttle
 	confirmations *confirmations
 	waits         *waitEstimator
+	latencies     *routeLatencies
 	inFlight      atomic.Int64
 	// idPrefix and lastID form call ids that are unique over all incarnations of all nodes.
 	idPrefix string
@@ -90,7 +91,7 @@
 	if cfg.Stopping == nil {
 		cfg.Stopping = func() bool { return false }
 	}
-	return &Proxy{cfg: cfg, retryBudget: newRetryBudget(cfg.RetryBudget), throttle: newThrottle(cfg.Now), confirmations: newConfirmations(), waits: newWaitEstimator(), idPrefix: uuid.NewString() + "-"}
+	return &Proxy{cfg: cfg, retryBudget: newRetryBudget(cfg.RetryBudget), throttle: newThrottle(cfg.Now), confirmations: newConfirmations(), waits: newWaitEstimator(), latencies: newRouteLatencies(), idPrefix: uuid.NewString() + "-"}
 }
 
 // InFlight returns the number of callers' requests that are being served.
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -300,6 +300,7 @@
 			f.proxy.cfg.Stopping = stopped.Load
 			service := &tree.Service{Name: "shop", StableVersion: "v0", MoveRecord: &wirepb.MoveRecord{Service: "shop", From: "v0", To: "v1"}}
 			c := &call{service: service, route: &tree.Route{Name: "read", Idempotent: true, Service: service, Timeout: time.Second}}
+			f.proxy.latencies.add(c.route, time.Millisecond)
 			ctx, end := f.proxy.withAttemptTimeout(t.Context(), c, true, time.Second)
 			defer end()
 			stopped.Store(stopping)
