Count calls that are slow already while they run

What callers saw: calls of a slow version that take one to two seconds, while its share grew every second. Cause: a call was evidence only once it had ended. Class: evidence that is censored by its own length.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -68,10 +68,9 @@
 		head.TimeLeft = durationpb.New(head.GetTimeLeft().AsDuration() - started.Sub(arrived))
 	}
 	observation := u.observation(head, started)
-	endRun, endObservation := r.startRun(head.GetRepeated()), r.cfg.ObserveStart(observation)
+	endRun, endObservation := r.startRun(head.GetRepeated()), r.cfg.Observe(observation)
 	answer, result := u.forward(ctx, head, r.cfg.MaxBodyBytes)
 	endRun()
-	endObservation()
 	took := r.cfg.Now().Sub(started)
 	answer.DependencyFailed = result == ResultFailed && r.dependencyFailed(u.service, started)
 	u.limiter.Release(admission, took)
@@ -83,10 +82,8 @@
 		// The upstream used up the time that it was given: only its latency counts, not the failure.
 		result = ResultAbandoned
 	}
-	if result != ResultInconclusive {
-		observation.Result, observation.Latency = result, took
-		r.cfg.Observe(observation)
-	}
+	observation.Result, observation.Latency = result, took
+	endObservation(observation)
 	r.cfg.Logger.Info("upstream answered", zap.String("id", head.GetCallId()), zap.String("upstream", u.id),
 		zap.String("version", u.version), zap.Duration("waited", started.Sub(arrived)), zap.Duration("took", took),
 		zap.Stringer("outcome", answer.GetOutcome()), zap.Uint32("status", answer.GetStatus()),
--- a/internal/local/call_test.go
+++ b/internal/local/call_test.go
@@ -35,8 +35,14 @@
 	f := &fixture{address: address, observed: make(chan Observation, 100)}
 	f.Registry = New(Config{
 		Logger: zap.NewNop(), Now: time.Now, QueueFactor: 1, MaxBodyBytes: maxBodyBytes,
-		CheckExposure:     func(Exposure) wirepb.Refusal { return f.refusal },
-		Observe:           func(o Observation) { f.observed <- o },
+		CheckExposure: func(Exposure) wirepb.Refusal { return f.refusal },
+		Observe: func(Observation) func(Observation) {
+			return func(o Observation) {
+				if o.Result != ResultInconclusive {
+					f.observed <- o
+				}
+			}
+		},
 		OnUpstreamsChange: func([]*wirepb.MemberUpstream) {},
 	})
 	require.NoError(t, f.Announce(f.announcement()))
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -89,11 +89,9 @@
 	AnnounceInterval time.Duration
 	// CheckExposure returns why an upstream may not get a further call now, or REFUSAL_UNSPECIFIED if it may.
 	CheckExposure func(exposure Exposure) wirepb.Refusal
-	// ObserveStart is called with the fields of a call that are known when it starts; the function that it returns is called
-	// when the call ends, before Observe. Nil means that starts are not observed.
-	ObserveStart func(observation Observation) (end func())
-	// Observe is called with the result of each call that is not inconclusive.
-	Observe func(observation Observation)
+	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
+	// call ends.
+	Observe func(started Observation) (end func(ended Observation))
 	// bodies is shared by all upstreams.
 	bodies *bodyBudget
 	// OnUpstreamsChange is called with the upstreams that accept calls after they changed.
@@ -124,9 +122,6 @@
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
-	if cfg.ObserveStart == nil {
-		cfg.ObserveStart = func(Observation) func() { return func() {} }
-	}
 	cfg.bodies = &bodyBudget{}
 	return &Registry{cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, deregistered: map[string]time.Time{}, outboundFailures: map[string]time.Time{}}
 }
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -189,7 +189,7 @@
 			m.UpdateBaselines(service, []*wirepb.RouteBaseline{baseline})
 			tt.observation.Service, tt.observation.Version, tt.observation.Route = "shop", "v2", "r"
 			for range tt.calls {
-				m.Observe(tt.observation)
+				m.Observe(tt.observation)(tt.observation)
 			}
 			require.Equal(t, tt.alarm, alarms > 0)
 			require.Equal(t, tt.alarm, m.Alarmed("shop"))
--- a/internal/move/monitor.go
+++ b/internal/move/monitor.go
@@ -56,12 +56,15 @@
 	slow      cusum
 	shedding  cusum
 	coldStart coldStartEstimator
-	// running holds the start times of the calls that are running.
-	running map[*runningCall]bool
+	running   map[*runningCall]bool
 }
 
+// runningCall is a call that has not ended.
 type runningCall struct {
+	local.Observation
 	startedAt time.Time
+	// countedSlow means that the call was counted as slow while it ran.
+	countedSlow bool
 }
 
 // NewMonitor returns a monitor without counts.
@@ -69,56 +72,64 @@
 	return &Monitor{cfg: cfg, services: map[string]*serviceMonitor{}}
 }
 
-// ObserveStart counts a call as running until the returned function is called.
-func (m *Monitor) ObserveStart(o local.Observation) (end func()) {
-	service, found := m.cfg.State().Services[o.Service]
-	if !found {
-		return func() {}
+// Observe counts a call as running until the returned function is called with its result; that calls OnAlarm if the result
+// raises an alarm.
+func (m *Monitor) Observe(started local.Observation) (end func(ended local.Observation)) {
+	call := &runningCall{Observation: started, startedAt: m.cfg.Now()}
+	if service, found := m.cfg.State().Services[started.Service]; found {
+		m.start(service, call)
+	}
+	return func(ended local.Observation) {
+		service, found := m.cfg.State().Services[ended.Service]
+		if found && m.end(service, call, ended) {
+			m.cfg.OnAlarm(ended.Service)
+		}
 	}
+}
+
+func (m *Monitor) start(service *tree.Service, call *runningCall) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.monitorFor(service).seriesFor(seriesKey{route: o.Route, version: o.Version, control: o.Control})
-	if s == nil {
-		return func() {}
-	}
-	started := &runningCall{startedAt: m.cfg.Now()}
-	s.running[started] = true
-	return func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		delete(s.running, started)
+	if s := m.monitorFor(service).seriesFor(keyOf(call.Observation)); s != nil {
+		s.running[call] = true
 	}
 }
 
-// Observe counts a call and calls OnAlarm if that raises an alarm.
-func (m *Monitor) Observe(o local.Observation) {
-	service, found := m.cfg.State().Services[o.Service]
-	if found && m.record(service, o) {
-		m.cfg.OnAlarm(o.Service)
-	}
+func keyOf(o local.Observation) seriesKey {
+	return seriesKey{route: o.Route, version: o.Version, control: o.Control}
 }
 
-// record counts a call and reports whether that raised an alarm.
-func (m *Monitor) record(service *tree.Service, o local.Observation) bool {
+// end counts a call that ended and reports whether that raised an alarm.
+func (m *Monitor) end(service *tree.Service, call *runningCall, o local.Observation) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	monitor := m.monitorFor(service)
-	s := monitor.seriesFor(seriesKey{route: o.Route, version: o.Version, control: o.Control})
+	s := monitor.seriesFor(keyOf(o))
 	if s == nil {
 		return false
 	}
+	delete(s.running, call)
+	if o.Result == local.ResultInconclusive {
+		return false
+	}
 	baseline := monitor.baselines[o.Route]
 	c := classify(o, baseline, allowedColdStart(service, baseline))
-	now := m.cfg.Now()
-	s.window.add(now, c)
-	if c.calls == 0 {
-		return false
+	if call.countedSlow {
+		c = counts{failures: c.failures}
 	}
 	if o.Result == local.ResultOK {
 		s.window.sample(o.Latency)
 		s.coldStart.add(o)
 	}
-	if !service.MoveActive() || o.Version != service.MoveRecord.GetTo() || !s.faultSuspected(c, baseline) {
+	return m.count(service, o, c)
+}
+
+// count adds the counts of one call to its series and reports whether that raised an alarm.
+func (m *Monitor) count(service *tree.Service, o local.Observation, c counts) bool {
+	now, monitor := m.cfg.Now(), m.monitorFor(service)
+	s := monitor.seriesFor(keyOf(o))
+	s.window.add(now, c)
+	if c.calls == 0 || !service.MoveActive() || o.Version != service.MoveRecord.GetTo() || !s.faultSuspected(c, monitor.baselines[o.Route]) {
 		return false
 	}
 	first := now.Sub(monitor.alarmedAt) > alarmDuration
@@ -127,6 +138,20 @@
 	return first
 }
 
+// countRunning counts the running calls that have been slow for some time already: the slowest calls end last, and a step may be
+// decided before.
+func (m *Monitor) countRunning(service *tree.Service, s *series) {
+	for call := range s.running {
+		o := call.Observation
+		o.Result, o.Latency = local.ResultOK, m.cfg.Now().Sub(call.startedAt)
+		baseline := m.monitorFor(service).baselines[o.Route]
+		if c := classify(o, baseline, allowedColdStart(service, baseline)); c.slow > 0 && !call.countedSlow {
+			call.countedSlow = true
+			m.count(service, o, c)
+		}
+	}
+}
+
 func classify(o local.Observation, baseline *wirepb.RouteBaseline, coldStart time.Duration) counts {
 	c, cold := counts{calls: 1}, o.SinceFirstCall < coldStart
 	slow := baseline.GetSlow() != nil && o.Latency > baseline.GetSlow().AsDuration()
@@ -202,9 +227,9 @@
 	monitor, now := m.monitorFor(service), m.cfg.Now()
 	report := &wirepb.EvidenceReport{
 		Node: node, Service: service.Name, DeclaredRevision: monitor.declaredRevision,
-		Alarmed: now.Sub(monitor.alarmedAt) < alarmDuration,
 	}
 	for key, s := range monitor.series {
+		m.countRunning(service, s)
 		slow := monitor.baselines[key.route].GetSlow()
 		evidence := s.window.evidence(now, key, slow == nil)
 		evidence.Running, evidence.OldestRunning = s.runningCalls(now)
@@ -213,6 +238,7 @@
 		}
 		report.Routes = append(report.Routes, evidence)
 	}
+	report.Alarmed = now.Sub(monitor.alarmedAt) < alarmDuration
 	sort.Slice(report.Routes, func(i, j int) bool {
 		a, b := report.Routes[i], report.Routes[j]
 		if a.GetRoute() != b.GetRoute() {
--- a/internal/move/simulate_test.go
+++ b/internal/move/simulate_test.go
@@ -188,11 +188,8 @@
 	if latency > limit {
 		o.Result = local.ResultAbandoned
 	}
-	end := node.monitor.ObserveStart(o)
-	m.schedule(m.now.Add(o.Latency), func() {
-		end()
-		node.monitor.Observe(o)
-	})
+	end := node.monitor.Observe(o)
+	m.schedule(m.now.Add(o.Latency), func() { end(o) })
 }
 
 // decide collects the reports of all nodes, rejects the version if the evidence suffices, and takes the next step otherwise.
--- a/internal/move/summary_test.go
+++ b/internal/move/summary_test.go
@@ -23,12 +23,11 @@
 	baseline := &wirepb.RouteBaseline{Route: "r", Calls: 1000, Slow: durationpb.New(time.Second)}
 	m.UpdateBaselines(service, []*wirepb.RouteBaseline{baseline})
 	call := local.Observation{Service: "shop", Version: "v2", Route: "r", SinceFirstCall: time.Minute}
-	endFirst := m.ObserveStart(call)
-	m.ObserveStart(call)
+	end := m.Observe(call)
+	m.Observe(call)
 	now = now.Add(100 * time.Millisecond)
-	endFirst()
 	call.Result, call.Latency = local.ResultAbandoned, 100*time.Millisecond
-	m.Observe(call)
+	end(call)
 
 	evidence := &nodeEvidence{series: map[seriesKey]*nodeSeries{}}
 	evidence.addReport(m.Report("n", service), now)
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -140,7 +140,7 @@
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
-		ObserveStart: monitor.ObserveStart, Observe: monitor.Observe,
+		Observe: monitor.Observe,
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -60,7 +60,7 @@
 	registry := local.New(local.Config{
 		Logger: zap.NewNop(), Now: time.Now, QueueFactor: 1, MaxBodyBytes: 1 << 16,
 		CheckExposure: func(local.Exposure) wirepb.Refusal { return wirepb.Refusal_REFUSAL_UNSPECIFIED },
-		Observe:       func(local.Observation) {}, OnUpstreamsChange: func([]*wirepb.MemberUpstream) {},
+		Observe:       func(local.Observation) func(local.Observation) { return func(local.Observation) {} }, OnUpstreamsChange: func([]*wirepb.MemberUpstream) {},
 	})
 	require.NoError(t, registry.Announce(&wirepb.Announcement{
 		Service: "shop", Version: "v1", Address: upstream.Listener.Addr().String(), Slots: 4, Connections: 4,
