End the allowed cold start when the upstream said it would end

What callers saw: a new version that was warm got calls for 3 s and more that could not count as slow, in which its share grew. Cause: slow calls are no fault within 3 s of an upstream's first call, unless the service declares a cold start. The upstreams announce how long they will still be cold, which no node used; at a share of one in a hundred each upstream's first call comes late, and its 3 s later. Change: the registry keeps the earliest end that was announced; calls that start after it are marked, and the monitor counts them as warm. Upstreams that announce nothing keep the 3 s.

--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -67,7 +67,7 @@
 	if head.GetTimeLeft() != nil {
 		head.TimeLeft = durationpb.New(head.GetTimeLeft().AsDuration() - started.Sub(arrived))
 	}
-	observation := u.observation(head, started)
+	observation := r.observation(u, head, started)
 	endRun, endObservation := r.startRun(head.GetRepeated()), r.cfg.Observe(observation)
 	answer, result := u.forward(ctx, head, r.cfg.MaxBodyBytes)
 	endRun()
@@ -155,11 +155,14 @@
 	return answer
 }
 
-// observation describes a call that starts on the upstream.
-func (u *upstream) observation(head *wirepb.CallHead, started time.Time) Observation {
+// observation describes a call that starts on an upstream.
+func (r *Registry) observation(u *upstream, head *wirepb.CallHead, started time.Time) Observation {
+	r.mu.Lock()
+	warmAt := u.warmAt
+	r.mu.Unlock()
 	return Observation{
-		Service: u.service, Version: u.version, Route: head.GetRoute(),
-		SinceFirstCall: u.sinceFirstCall(started), FirstCallSeen: u.firstCallSeen, Control: head.GetControl(),
+		Service: u.service, Version: u.version, Route: head.GetRoute(), SinceFirstCall: u.sinceFirstCall(started),
+		FirstCallSeen: u.firstCallSeen, ColdStartOver: !warmAt.IsZero() && !started.Before(warmAt), Control: head.GetControl(),
 	}
 }
 
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -63,6 +63,8 @@
 	SinceFirstCall time.Duration
 	// FirstCallSeen means that this node saw the upstream's first call.
 	FirstCallSeen bool
+	// ColdStartOver means that the call started after the time at which the upstream announced to be warm.
+	ColdStartOver bool
 	// Control means that the call belongs to the control group, which is assigned at random to the stable version.
 	Control bool
 }
@@ -165,6 +167,7 @@
 	}
 	if found && known.describedBy(a) && !known.leaving {
 		known.lastAnnounced, known.sequence = r.cfg.Now(), a.GetSequence()
+		known.updateWarmAt(a, r.cfg.Now())
 		if a.GetLeaving() {
 			r.markLeaving(known, "leaving")
 		}
@@ -185,7 +188,8 @@
 		known.close()
 	}
 	r.upstreams[address] = newUpstream(address, a, r.cfg)
-	r.cfg.Logger.Info("upstream registered", zap.String("service", a.GetService()), zap.String("version", a.GetVersion()), zap.Stringer("address", address))
+	r.cfg.Logger.Info("upstream registered", zap.String("service", a.GetService()), zap.String("version", a.GetVersion()), zap.Stringer("address", address),
+		zap.Duration("cold_left", a.GetColdLeft().AsDuration()))
 	return true
 }
 
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -19,7 +19,7 @@
 	maxFreshUptime = 10 * time.Second
 )
 
-// upstream is one local upstream. The mutex of the registry guards sequence, leaving, silent, leftAt and lastAnnounced.
+// upstream is one local upstream. The mutex of the registry guards sequence, leaving, silent, leftAt, lastAnnounced and warmAt.
 type upstream struct {
 	// id is empty for an upstream that does not announce one.
 	id string
@@ -36,6 +36,8 @@
 	silent        bool
 	leftAt        time.Time
 	lastAnnounced time.Time
+	// warmAt is when the cold start ends as announced; it is zero while no announcement has said so.
+	warmAt time.Time
 
 	// firstCallSeen means that the upstream had run no call before its first announcement to this node.
 	firstCallSeen bool
@@ -62,9 +64,21 @@
 	if a.GetStarted() != nil {
 		u.started = a.GetStarted().AsTime()
 	}
+	u.updateWarmAt(a, cfg.Now())
 	return u
 }
 
+// updateWarmAt applies the remaining cold start of an announcement; one that was delayed gives too late a time, so the earliest
+// counts.
+func (u *upstream) updateWarmAt(a *wirepb.Announcement, now time.Time) {
+	if a.GetColdLeft() == nil {
+		return
+	}
+	if warmAt := now.Add(a.GetColdLeft().AsDuration()); u.warmAt.IsZero() || warmAt.Before(u.warmAt) {
+		u.warmAt = warmAt
+	}
+}
+
 // describedBy reports whether an announcement repeats what the registry holds of the upstream.
 func (u *upstream) describedBy(a *wirepb.Announcement) bool {
 	return u.id == a.GetId() && u.isSameStart(a) && u.service == a.GetService() && u.version == a.GetVersion() &&
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -173,6 +173,7 @@
 		{"two failures", local.Observation{Result: local.ResultFailed}, 2, true},
 		{"slow calls", local.Observation{Latency: time.Second, SinceFirstCall: time.Minute}, 6, true},
 		{"slow calls in the cold start", local.Observation{Latency: time.Second, SinceFirstCall: minAllowedColdStart - 1}, 100, false},
+		{"slow calls after the announced cold start", local.Observation{Latency: time.Second, SinceFirstCall: minAllowedColdStart - 1, ColdStartOver: true}, 6, true},
 		{"abandoned after the slow threshold", local.Observation{Result: local.ResultAbandoned, Latency: time.Second, SinceFirstCall: time.Minute}, 6, true},
 		{"abandoned before the slow threshold", local.Observation{Result: local.ResultAbandoned, Latency: time.Millisecond}, 100, false},
 	}
--- a/internal/move/monitor.go
+++ b/internal/move/monitor.go
@@ -153,7 +153,7 @@
 }
 
 func classify(o local.Observation, baseline *wirepb.RouteBaseline, coldStart time.Duration) counts {
-	c, cold := counts{calls: 1}, o.SinceFirstCall < coldStart
+	c, cold := counts{calls: 1}, !o.ColdStartOver && o.SinceFirstCall < coldStart
 	slow := baseline.GetSlow() != nil && o.Latency > baseline.GetSlow().AsDuration()
 	switch o.Result {
 	case local.ResultFailed:
--- a/internal/move/simulate_test.go
+++ b/internal/move/simulate_test.go
@@ -33,7 +33,9 @@
 	slowFactor float64
 	// coldDuration is the time after the order in which calls of the new version take twice as long.
 	coldDuration time.Duration
-	seed         uint64
+	// announcesCold says whether upstreams announce how long they will be cold.
+	announcesCold bool
+	seed          uint64
 }
 
 // simulationResult is what became of the simulated move at its deadline.
@@ -184,6 +186,7 @@
 	o := local.Observation{
 		Service: "shop", Version: node.version, Route: r.name, Result: local.ResultOK, Latency: min(latency, limit),
 		SinceFirstCall: m.now.Sub(node.firstCallAt), Control: group == GroupControl && node.version == "v1",
+		ColdStartOver: m.announcesCold && m.now.Sub(declaredAt) >= m.coldDuration,
 	}
 	if latency > limit {
 		o.Result = local.ResultAbandoned
