Take the thresholds for slow calls from the samples of all nodes

Cause: a decider set a route's threshold from the first report after the order, which holds the latencies of one upstream. Upstreams differ in speed, so that deciders set 53, 107 and 49 ms for one route of archive, whose 95th percentile is 90 ms; nodes follow whichever decider replied last. A decider that became one later, or restarted, sent baselines without thresholds, which replaced the known ones, and had none for its own decisions. Class: an estimate that is fixed before its sample is whole. Change: until the new version gets its first share, nodes send samples and deciders follow them; then the thresholds stay. Nodes keep a threshold that a decider does not know, and a decider takes over those of the others.

--- a/internal/move/baseline.go
+++ b/internal/move/baseline.go
@@ -34,16 +34,17 @@
 	}
 }
 
-// baselines returns the stable version's baseline of each route.
-func (v view) baselines(known map[string]*wirepb.RouteBaseline) []*wirepb.RouteBaseline {
+// baselines returns the stable version's baseline of each route. The thresholds for slow calls follow the samples of all nodes until
+// the new version gets calls, and then stay the same: upstreams differ in speed, so that those of the first nodes to report say little.
+func (v view) baselines(record *wirepb.MoveRecord, known map[string]*wirepb.RouteBaseline) []*wirepb.RouteBaseline {
 	list := make([]*wirepb.RouteBaseline, 0, len(v))
 	for _, name := range v.routes() {
-		list = append(list, v[name].baseline(name, known[name]))
+		list = append(list, v[name].baseline(name, known[name], record.GetSharePermille() == 0))
 	}
 	return list
 }
 
-func (r *routeView) baseline(name string, known *wirepb.RouteBaseline) *wirepb.RouteBaseline {
+func (r *routeView) baseline(name string, known *wirepb.RouteBaseline, opening bool) *wirepb.RouteBaseline {
 	sum := r.from.sum()
 	if sum.calls < minBaselineCalls && known != nil {
 		return known
@@ -53,8 +54,8 @@
 		ShedRate: sum.shedRate(), SlowRate: sum.slowRate(), Slow: known.GetSlow(),
 		ColdStart: longerDuration(known.GetColdStart(), r.coldStart),
 	}
-	// The threshold stays the same for the whole move, so that a slowdown of both versions is counted for both.
-	if baseline.Slow == nil && len(r.samplesMicros) >= minBaselineCalls {
+	// The thresholds then stay the same for the whole move, so that a slowdown of both versions is counted for both.
+	if (baseline.Slow == nil || opening) && len(r.samplesMicros) >= minBaselineCalls {
 		baseline.Slow = durationpb.New(slowThreshold(r.samplesMicros))
 	}
 	return baseline
--- a/internal/move/coldstart_test.go
+++ b/internal/move/coldstart_test.go
@@ -73,5 +73,5 @@
 	for _, seen := range []*durationpb.Duration{nil, durationpb.New(time.Second), durationpb.New(0)} {
 		v.add(record, seriesKey{route: "r", version: "v1"}, &nodeSeries{seconds: history{}, coldStart: seen})
 	}
-	require.Equal(t, time.Second, v.baselines(nil)[0].GetColdStart().AsDuration())
+	require.Equal(t, time.Second, v.baselines(record, nil)[0].GetColdStart().AsDuration())
 }
--- a/internal/move/controller.go
+++ b/internal/move/controller.go
@@ -163,7 +163,7 @@
 	if report.GetAlarmed() && now.Sub(tracker.alarmedAt) > alarmDuration {
 		tracker.alarmedAt = now
 	}
-	baselines := tracker.view(service.MoveRecord, now).baselines(tracker.baselines)
+	baselines := tracker.view(service.MoveRecord, now).baselines(service.MoveRecord, tracker.baselines)
 	for _, b := range baselines {
 		tracker.baselines[b.GetRoute()] = b
 	}
--- a/internal/move/deciders.go
+++ b/internal/move/deciders.go
@@ -56,12 +56,26 @@
 			for _, v := range reply.GetVerdicts() {
 				c.cfg.Verdicts.Merge(v)
 			}
+			c.adoptThresholds(service, reply.GetBaselines())
 			c.cfg.Monitor.UpdateBaselines(service, reply.GetBaselines())
 		})
 	}
 	wait.Wait()
 }
 
+// adoptThresholds takes over the thresholds for slow calls that another decider knows, on the routes for which this node has none
+// because it became a decider after they were set.
+func (c *Controller) adoptThresholds(service *tree.Service, baselines []*wirepb.RouteBaseline) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tracker := c.trackerFor(service.Name, service.MoveRecord.GetDeclaredRevision())
+	for _, b := range baselines {
+		if known := tracker.baselines[b.GetRoute()]; known.GetSlow() == nil && b.GetSlow() != nil {
+			tracker.baselines[b.GetRoute()] = b
+		}
+	}
+}
+
 func (c *Controller) recordReply(service *tree.Service, node string, replied bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/move/monitor.go
+++ b/internal/move/monitor.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/local"
@@ -231,7 +232,7 @@
 	for key, s := range monitor.series {
 		m.countRunning(service, s)
 		slow := monitor.baselines[key.route].GetSlow()
-		evidence := s.window.evidence(now, key, slow == nil)
+		evidence := s.window.evidence(now, key, slow == nil || service.MoveRecord.GetSharePermille() == 0)
 		evidence.Running, evidence.OldestRunning = s.runningCalls(now)
 		if coldStart, found := s.coldStart.estimate(slow.AsDuration()); slow != nil && found {
 			evidence.ColdStart = durationpb.New(coldStart)
@@ -267,6 +268,11 @@
 	defer m.mu.Unlock()
 	monitor := m.monitorFor(service)
 	for _, b := range baselines {
+		if known := monitor.baselines[b.GetRoute()]; b.GetSlow() == nil && known.GetSlow() != nil {
+			// A decider that has just started does not know the thresholds.
+			b = proto.CloneOf(b)
+			b.Slow = known.GetSlow()
+		}
 		if b.GetCalls() >= minBaselineCalls || monitor.baselines[b.GetRoute()] == nil {
 			monitor.baselines[b.GetRoute()] = b
 		}
--- a/internal/move/simulate_test.go
+++ b/internal/move/simulate_test.go
@@ -205,7 +205,7 @@
 		m.tracker.addReport(n.monitor.Report(n.name, m.service), m.now)
 	}
 	current := m.tracker.view(record, m.now)
-	baselines := current.baselines(m.tracker.baselines)
+	baselines := current.baselines(record, m.tracker.baselines)
 	for _, b := range baselines {
 		m.tracker.baselines[b.GetRoute()] = b
 	}
