Call a call slow that takes longer than nearly all of the stable version's

Cause: the threshold was twice the 95th percentile. Latencies of these services spread widely (95th percentile 2.4 to 2.7 times the median), so that a call four times slower than usual does not exceed it, and the test asks for half of the calls above it. Class: a threshold in units of the tail, for a fault in units of the usual. Change: twice the median, and at least the 95th percentile plus 5 ms. Where latencies hardly differ that is lower than before as well, but never below twice the usual. One call in twenty of a good version is slow now, so single ones must not matter: rates of slow calls in samples of a second are moved towards the usual rate by 20 calls, instead of counting one call more, and a disturbance is two calls.

--- a/internal/move/baseline.go
+++ b/internal/move/baseline.go
@@ -1,7 +1,7 @@
 package move
 
 import (
-	"sort"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -12,6 +12,7 @@
 const (
 	minBaselineCalls = 20
 	slowQuantile     = 0.95
+	medianQuantile   = 0.5
 	slowFactor       = 2
 	minSlowMargin    = 5 * time.Millisecond
 )
@@ -61,10 +62,12 @@
 	return baseline
 }
 
-// slowThreshold returns the latency above which a call counts as slow, from latencies of the stable version.
+// slowThreshold returns the latency above which a call counts as slow, from latencies of the stable version: it must take several
+// times as long as usual, and longer than nearly all.
 func slowThreshold(samples []uint32) time.Duration {
-	sorted := append([]uint32(nil), samples...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
-	quantile := time.Duration(sorted[int(slowQuantile*float64(len(sorted)-1))]) * time.Microsecond
-	return max(slowFactor*quantile, quantile+minSlowMargin)
+	sorted := slices.Sorted(slices.Values(samples))
+	quantile := func(q float64) time.Duration {
+		return time.Duration(sorted[int(q*float64(len(sorted)-1))]) * time.Microsecond
+	}
+	return max(slowFactor*quantile(medianQuantile), quantile(slowQuantile)+minSlowMargin)
 }
--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -53,16 +53,17 @@
 // version, but may be small. So the rates of the stable version's calls in this second and the ones before and after replace
 // lower ones, since a disturbance may begin or end within a second.
 func (r *routeView) baselineInSecond(second int64, overall counts) counts {
-	baseline := r.from[second]
+	baseline, usual := r.from[second], overall.slowRate()
 	if control := r.control[second]; control.calls >= minSecondCalls {
 		baseline = control.withPessimisticRates()
 	}
+	baseline = baseline.withUsualSlowRate(usual)
 	if baseline.calls < minSecondCalls {
 		baseline = overall
 	}
 	for s := second - 1; s <= second+1; s++ {
 		if neighbour := r.from[s]; neighbour.calls >= minSecondCalls {
-			baseline = baseline.withWorseRates(neighbour)
+			baseline = baseline.withWorseRates(neighbour.withUsualSlowRate(usual))
 		}
 	}
 	baseline.baselineCalls = overall.calls
--- a/internal/move/simulate_test.go
+++ b/internal/move/simulate_test.go
@@ -25,8 +25,9 @@
 	idempotent bool
 }
 
-// simulation runs a move of a service with three upstreams of each version, each on a node of its own, in virtual time. One
-// decider gets the reports of all nodes.
+// simulation runs a move of a service with three upstreams of each version, each on a node of its own, in virtual time. The
+// upstreams of a version differ in speed by up to a factor of two, those of the versions pairwise by a tenth. One decider gets the
+// reports of all nodes.
 type simulation struct {
 	routes []simulatedRoute
 	// slowFactor multiplies the latency of half of the new version's calls; 1 is for a good version.
@@ -112,7 +113,7 @@
 	for i := range 2 * upstreamCount {
 		node := &simulatedNode{name: "n" + strconv.Itoa(i), version: "v1", speed: 0.7 + 0.8*m.random.Float64()}
 		if i >= upstreamCount {
-			node.version = "v2"
+			node.version, node.speed = "v2", m.nodes[i-upstreamCount].speed*(0.9+0.2*m.random.Float64())
 		}
 		node.monitor = NewMonitor(MonitorConfig{
 			Now: func() time.Time { return m.now }, OnAlarm: func(string) {},
--- a/internal/move/view.go
+++ b/internal/move/view.go
@@ -12,6 +12,9 @@
 // disturbedSeconds is the number of whole seconds for which a disturbance of the stable version delays a step.
 const disturbedSeconds = 1
 
+// minDisturbedCalls is the least number of bad calls in a second that are a disturbance: single slow calls are usual.
+const minDisturbedCalls = 2
+
 // routeView is the evidence of all nodes on one route of a moving service; from is the stable version, to the new one.
 type routeView struct {
 	from history
@@ -86,7 +89,8 @@
 	for _, name := range v.routes() {
 		for second := now.Unix() - disturbedSeconds; second <= now.Unix(); second++ {
 			c := v[name].from[second]
-			if c.calls >= minSecondCalls && max(c.failureRate(), c.shedRate(), c.slowRate()) > maxComparableRate {
+			if c.calls >= minSecondCalls && max(c.failures, c.sheds, c.slow) >= minDisturbedCalls &&
+				max(c.failureRate(), c.shedRate(), c.slowRate()) > maxComparableRate {
 				return name
 			}
 		}
--- a/internal/move/window.go
+++ b/internal/move/window.go
@@ -13,6 +13,8 @@
 	// reportSeconds is the number of newest seconds in each report; the deciders keep the older ones of the window.
 	reportSeconds = 3
 	sampleCount   = 64
+	// usualCalls is how many calls at the usual rate of slow ones are added to a small sample.
+	usualCalls = 20
 )
 
 // counts are numbers of calls in a stretch of time, by result. Warm calls are those after the cold start that can count as
@@ -49,11 +51,17 @@
 	return c
 }
 
-// withPessimisticRates returns the counts of a small sample with higher rates of those faults that it shows.
+// withUsualSlowRate returns the counts of a small sample with a rate of slow calls that is moved towards the usual one: some calls
+// are always slow, so that a high rate in a small sample may be chance.
+func (c counts) withUsualSlowRate(usual float64) counts {
+	c.slow = c.warm * ratio(c.slow+usualCalls*usual, c.warm+usualCalls)
+	return c
+}
+
+// withPessimisticRates returns the counts of a small sample with higher rates of the failures and sheds that it shows.
 func (c counts) withPessimisticRates() counts {
 	c.failures = c.served() * pessimisticRate(c.failures, c.served())
 	c.sheds = c.calls * pessimisticRate(c.sheds, c.calls)
-	c.slow = c.warm * pessimisticRate(c.slow, c.warm)
 	return c
 }
 
