Count calls that were cut off as evidence that a version is slow

Cause: a call to a new version is cut off after half of its time, and any call at the end of its route's timeout. Cut off before the threshold, it was not counted at all, neither as slow nor as a call: the fast half of a slow version's calls was all that was left to compare, and the slower a version, the fewer of its calls counted. Class: observations that are censored on the outcome. Change: a call that was cut off after the 80th percentile of the stable version counts as slow. A good version has at most a fifth of its calls cut off there, and the test turns against a version at 27%. Test: TestSlowThreshold, a case of TestLocalAlarm (no alarm before), and the cases "one route" of TestSlowVersionIsRejected.

--- a/internal/move/baseline.go
+++ b/internal/move/baseline.go
@@ -12,6 +12,7 @@
 const (
 	minBaselineCalls = 20
 	slowQuantile     = 0.95
+	cutOffQuantile   = 0.8
 	medianQuantile   = 0.5
 	slowFactor       = 2
 	minSlowMargin    = 5 * time.Millisecond
@@ -52,22 +53,25 @@
 	}
 	baseline := &wirepb.RouteBaseline{
 		Route: name, Calls: uint32(sum.calls), FailureRate: sum.failureRate(),
-		ShedRate: sum.shedRate(), SlowRate: sum.slowRate(), Slow: known.GetSlow(),
+		ShedRate: sum.shedRate(), SlowRate: sum.slowRate(), Slow: known.GetSlow(), SlowIfCutOff: known.GetSlowIfCutOff(),
 		ColdStart: longerDuration(known.GetColdStart(), r.coldStart),
 	}
 	// The thresholds then stay the same for the whole move, so that a slowdown of both versions is counted for both.
 	if (baseline.Slow == nil || opening) && len(r.samplesMicros) >= minBaselineCalls {
-		baseline.Slow = durationpb.New(slowThreshold(r.samplesMicros))
+		slow, slowIfCutOff := slowThresholds(r.samplesMicros)
+		baseline.Slow, baseline.SlowIfCutOff = durationpb.New(slow), durationpb.New(slowIfCutOff)
 	}
 	return baseline
 }
 
-// slowThreshold returns the latency above which a call counts as slow, from latencies of the stable version: it must take several
-// times as long as usual, and longer than nearly all.
-func slowThreshold(samples []uint32) time.Duration {
+// slowThresholds returns the latencies above which a complete call and one that was cut off count as slow, from latencies of the
+// stable version. A complete call must take several times as long as usual, and longer than nearly all. One that was cut off could
+// not show more than the time that it had: it must have taken longer than most, so that the calls of a good version that are cut
+// off are too few for a rejection.
+func slowThresholds(samples []uint32) (slow, slowIfCutOff time.Duration) {
 	sorted := slices.Sorted(slices.Values(samples))
 	quantile := func(q float64) time.Duration {
 		return time.Duration(sorted[int(q*float64(len(sorted)-1))]) * time.Microsecond
 	}
-	return max(slowFactor*quantile(medianQuantile), quantile(slowQuantile)+minSlowMargin)
+	return max(slowFactor*quantile(medianQuantile), quantile(slowQuantile)+minSlowMargin), quantile(cutOffQuantile)
 }
--- a/internal/move/baseline_test.go
+++ b/internal/move/baseline_test.go
@@ -22,16 +22,19 @@
 // own latencies spread widely.
 func TestSlowThreshold(t *testing.T) {
 	tests := []struct {
-		name     string
-		multiple float64
-		want     time.Duration
+		name       string
+		multiple   float64
+		want       time.Duration
+		wantCutOff time.Duration
 	}{
-		{"latencies that hardly differ: several times the usual one", 1.1, 200 * time.Millisecond},
-		{"latencies that spread widely: more than nearly all", 2.7, 275 * time.Millisecond},
+		{"latencies that hardly differ: several times the usual one", 1.1, 200 * time.Millisecond, 107 * time.Millisecond},
+		{"latencies that spread widely: more than nearly all", 2.7, 275 * time.Millisecond, 194 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			require.InDelta(t, tt.want.Seconds(), slowThreshold(samplesWithSpread(tt.multiple)).Seconds(), 0.001)
+			slow, slowIfCutOff := slowThresholds(samplesWithSpread(tt.multiple))
+			require.InDelta(t, tt.want.Seconds(), slow.Seconds(), 0.001)
+			require.InDelta(t, tt.wantCutOff.Seconds(), slowIfCutOff.Seconds(), 0.001)
 		})
 	}
 }
--- a/internal/move/decide_test.go
+++ b/internal/move/decide_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestLocalAlarm(t *testing.T) {
-	baseline := &wirepb.RouteBaseline{Calls: 1000, Slow: durationpb.New(10 * time.Millisecond)}
+	baseline := &wirepb.RouteBaseline{Calls: 1000, Slow: durationpb.New(10 * time.Millisecond), SlowIfCutOff: durationpb.New(8 * time.Millisecond)}
 	tests := []struct {
 		name        string
 		observation local.Observation
@@ -175,6 +175,7 @@
 		{"slow calls in the cold start", local.Observation{Latency: time.Second, SinceFirstCall: minAllowedColdStart - 1}, 100, false},
 		{"slow calls after the announced cold start", local.Observation{Latency: time.Second, SinceFirstCall: minAllowedColdStart - 1, ColdStartOver: true}, 6, true},
 		{"abandoned after the slow threshold", local.Observation{Result: local.ResultAbandoned, Latency: time.Second, SinceFirstCall: time.Minute}, 6, true},
+		{"cut off before the slow threshold, but after several times the usual latency", local.Observation{Result: local.ResultAbandoned, Latency: 9 * time.Millisecond, SinceFirstCall: time.Minute}, 6, true},
 		{"abandoned before the slow threshold", local.Observation{Result: local.ResultAbandoned, Latency: time.Millisecond}, 100, false},
 	}
 	for _, tt := range tests {
--- a/internal/move/monitor.go
+++ b/internal/move/monitor.go
@@ -155,7 +155,11 @@
 
 func classify(o local.Observation, baseline *wirepb.RouteBaseline, coldStart time.Duration) counts {
 	c, cold := counts{calls: 1}, !o.ColdStartOver && o.SinceFirstCall < coldStart
-	slow := baseline.GetSlow() != nil && o.Latency > baseline.GetSlow().AsDuration()
+	threshold := baseline.GetSlow()
+	if o.Result == local.ResultAbandoned {
+		threshold = baseline.GetSlowIfCutOff()
+	}
+	slow := threshold != nil && o.Latency > threshold.AsDuration()
 	switch o.Result {
 	case local.ResultFailed:
 		c.failures = 1
@@ -271,7 +275,7 @@
 		if known := monitor.baselines[b.GetRoute()]; b.GetSlow() == nil && known.GetSlow() != nil {
 			// A decider that has just started does not know the thresholds.
 			b = proto.CloneOf(b)
-			b.Slow = known.GetSlow()
+			b.Slow, b.SlowIfCutOff = known.GetSlow(), known.GetSlowIfCutOff()
 		}
 		if b.GetCalls() >= minBaselineCalls || monitor.baselines[b.GetRoute()] == nil {
 			monitor.baselines[b.GetRoute()] = b
