Take a step only on calls that could have shown a fault

What callers saw: a version got the full share 8.4 s after every order, whatever its calls had shown by then. Cause: an order of the operator's finishes by its deadline (policy FINISH). Under that policy a step asked for no calls at all, from the order on, not only when time runs out; and calls in a cold start, which cannot count as slow, counted as calls of a step. Class: absence of evidence taken for evidence of absence. Change: only comparable calls count for a step. Policy FINISH takes the steps without them only when the time left is that of the steps and of 2 s after the last one; until then it waits, but not for routes whose traffic cannot give enough calls in a step. The full share waits, too, until the evidence on each route speaks against a slow version with odds of ten to one. A step that would not change a raised share is skipped, which leaves its time to later ones. Ruled out: HOLD for orders; a service with little traffic would then never complete.

--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -1,6 +1,7 @@
 package move
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -9,9 +10,8 @@
 // minSecondCalls is the least number of the stable version's calls in a second for which that second is compared by itself.
 const minSecondCalls = 3
 
-// finding is the evidence against the new version on one route.
+// finding is the evidence against the new version, and what it says.
 type finding struct {
-	route  string
 	reason string
 	// evidence is the log-likelihood ratio of the strongest kind of fault, in nats.
 	evidence float64
@@ -28,21 +28,41 @@
 	return worst
 }
 
-// compareVersions compares the new version with the stable one in the same seconds, so that a fault of both is not counted
-// against the new one. The evidence is summed from each second up to now, and the largest sum counts, so that good calls
-// before a fault that begins late do not outweigh it.
+// slowEvidence returns the evidence from all calls so far that the new version is slow on some routes together; it is negative if
+// they speak against that.
+func (v view) slowEvidence(baselines map[string]*wirepb.RouteBaseline, routes ...string) float64 {
+	sum := 0.0
+	for _, name := range routes {
+		for _, e := range v[name].evidenceBySecond(baselines[name]) {
+			sum += e.slow
+		}
+	}
+	return sum
+}
+
+// compareVersions returns the finding on one route.
 func (r *routeView) compareVersions(name string, known *wirepb.RouteBaseline) finding {
-	overall := r.baselineCounts(known)
-	seconds := make([]int64, 0, len(r.to))
-	for second := range r.to {
-		seconds = append(seconds, second)
+	return strongestSuffix(r.evidenceBySecond(known), "route "+name)
+}
+
+// evidenceBySecond compares the new version with the stable one in the same seconds, so that a fault of both is not counted against
+// the new one.
+func (r *routeView) evidenceBySecond(known *wirepb.RouteBaseline) map[int64]faultEvidence {
+	overall, evidence := r.baselineCounts(known), map[int64]faultEvidence{}
+	for second, c := range r.to {
+		evidence[second] = compareCounts(c, r.baselineInSecond(second, overall))
 	}
-	slices.Sort(seconds)
-	worst, sum := finding{route: name}, faultEvidence{}
-	for _, second := range slices.Backward(seconds) {
-		sum.add(r.to[second], r.baselineInSecond(second, overall))
-		if reason, evidence := sum.strongest(); evidence > worst.evidence {
-			worst.reason, worst.evidence = "route "+name+" "+reason, evidence
+	return evidence
+}
+
+// strongestSuffix sums up the evidence from each second up to now, and returns the largest sum, so that good calls before a fault
+// that begins late do not outweigh it.
+func strongestSuffix(evidence map[int64]faultEvidence, subject string) finding {
+	worst, sum := finding{}, faultEvidence{}
+	for _, second := range slices.Backward(slices.Sorted(maps.Keys(evidence))) {
+		sum = sum.plus(evidence[second])
+		if reason, strongest := sum.strongest(); strongest > worst.evidence {
+			worst.reason, worst.evidence = subject+" "+reason, strongest
 		}
 	}
 	return worst
@@ -78,15 +98,25 @@
 	slow        float64
 }
 
-func (e *faultEvidence) add(to, from counts) {
+// compareCounts returns the evidence in the counts of the new version, given those of the stable one.
+func compareCounts(to, from counts) faultEvidence {
 	calls := max(from.calls, from.baselineCalls)
-	e.failing += failureHypothesis(from.failureRate(), calls).logLikelihoodRatio(to.served(), to.failures)
-	e.rareFailing += rareFailureHypothesis(from.failureRate(), calls).logLikelihoodRatio(to.served(), to.failures)
-	e.shedding += shedHypothesis(from.shedRate()).logLikelihoodRatio(to.calls, to.sheds)
-	e.slow += slowHypothesis(from.slowRate()).logLikelihoodRatio(to.warm, to.slow)
+	return faultEvidence{
+		failing:     failureHypothesis(from.failureRate(), calls).logLikelihoodRatio(to.served(), to.failures),
+		rareFailing: rareFailureHypothesis(from.failureRate(), calls).logLikelihoodRatio(to.served(), to.failures),
+		shedding:    shedHypothesis(from.shedRate()).logLikelihoodRatio(to.calls, to.sheds),
+		slow:        slowHypothesis(from.slowRate()).logLikelihoodRatio(to.warm, to.slow),
+	}
+}
+
+func (e faultEvidence) plus(other faultEvidence) faultEvidence {
+	return faultEvidence{
+		failing: e.failing + other.failing, rareFailing: e.rareFailing + other.rareFailing,
+		shedding: e.shedding + other.shedding, slow: e.slow + other.slow,
+	}
 }
 
-func (e *faultEvidence) strongest() (string, float64) {
+func (e faultEvidence) strongest() (string, float64) {
 	failing := max(e.failing, e.rareFailing)
 	switch {
 	case failing >= e.shedding && failing >= e.slow:
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -27,6 +27,9 @@
 	// undecidedSharePermille is the least share of a version on which the evidence is undecided. A fault of one call in ten
 	// takes about 11 calls to tell, and at 260 calls per second they arrive within 0.3 s.
 	undecidedSharePermille = 150
+	// finishReserve is the time before the deadline that a move needs after its last step: the watch of an ordered move, the write
+	// of its record, and the operator's read.
+	finishReserve = 2 * time.Second
 )
 
 // decision holds what a decider knows of a move when it decides on the next step.
@@ -88,10 +91,24 @@
 		record.Reason = reason
 		return
 	}
-	next := min(record.GetStep()+1, uint32(len(stepSharesPermille)-1))
+	next := nextStep(record)
+	if route := d.unclearRoute(record); stepSharesPermille[next] == fullSharePermille && route != "" {
+		record.Reason = "waits for evidence that the version is not slow on route " + route
+		return
+	}
 	d.enterStep(record, next, max(stepSharesPermille[next], record.GetSharePermille()))
 }
 
+// nextStep returns the next step with a larger share; steps that would not change a share that was raised or widened are skipped.
+func nextStep(record *wirepb.MoveRecord) uint32 {
+	last := uint32(len(stepSharesPermille) - 1)
+	next := min(record.GetStep()+1, last)
+	for next < last && stepSharesPermille[next] <= record.GetSharePermille() {
+		next++
+	}
+	return next
+}
+
 // openFirstShare enters the first step after a delay that lets the stable version's baseline be measured.
 func (d decision) openFirstShare(record *wirepb.MoveRecord) {
 	if d.now.Sub(record.GetDeclaredAt().AsTime()) < minStepDuration {
@@ -123,7 +140,7 @@
 	total := uint64(0)
 	for _, name := range d.view.routes() {
 		calls := d.view[name].newCallsSince(d.callsAtStepStart[name])
-		if d.view[name].used() && calls < minRouteCalls {
+		if calls < minRouteCalls && d.expectsCalls(record, d.view[name]) {
 			return "waits for calls on route " + name
 		}
 		total += calls
@@ -134,6 +151,32 @@
 	return ""
 }
 
+// unclearRoute returns a route with enough traffic on which the evidence does not yet rule out that the new version is slow, or an
+// empty string. The full share must not be the first to show it: slow calls are seen late, and by then most calls of the service are
+// affected.
+func (d decision) unclearRoute(record *wirepb.MoveRecord) string {
+	if d.isForcedAtDeadline(record) {
+		return ""
+	}
+	for _, name := range d.view.routes() {
+		known := d.baselines[name].GetSlow() != nil
+		if known && d.expectsCalls(record, d.view[name]) && d.view.slowEvidence(d.baselines, name) > -clearThreshold {
+			return name
+		}
+	}
+	return ""
+}
+
+// expectsCalls reports whether a route must have calls of the new version before the next step. A move that is to finish by its
+// deadline does not wait for a route with so little traffic that it is unlikely to have enough of them in a step.
+func (d decision) expectsCalls(record *wirepb.MoveRecord, r *routeView) bool {
+	if record.GetAtDeadline() != wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH {
+		return r.used()
+	}
+	share := float64(record.GetSharePermille()) / fullSharePermille
+	return r.callsPerSecond()*share*minStepDuration.Seconds() >= minRouteCalls
+}
+
 // widenShare doubles the share of a step that has too few calls, up to the share of the next step and never to the full
 // share. The calls so far were good, and waiting on a route with little traffic would use up the time of later steps.
 func (d decision) widenShare(record *wirepb.MoveRecord) {
@@ -150,9 +193,14 @@
 	record.SharePermille = max(record.GetSharePermille(), undecidedSharePermille)
 }
 
-// isForcedAtDeadline reports whether the move takes its planned steps, up to the deadline, even if it has too few calls.
+// isForcedAtDeadline reports whether the move takes its next step without enough calls, since it is to finish by its deadline and
+// there is only time left for the steps and for finishReserve after the last of them.
 func (d decision) isForcedAtDeadline(record *wirepb.MoveRecord) bool {
-	return record.GetAtDeadline() == wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH
+	if record.GetAtDeadline() != wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH {
+		return false
+	}
+	between := time.Duration(len(stepTimeFractions)-1-min(int(record.GetStep()), len(stepTimeFractions)-1)) * minStepDuration
+	return !d.now.Add(between + finishReserve).Before(record.GetDeadline().AsTime())
 }
 
 // nextRecordByClock returns the next record under PolicyClock: equal steps up to the deadline.
--- a/internal/move/hypothesis.go
+++ b/internal/move/hypothesis.go
@@ -7,6 +7,8 @@
 	rejectThreshold = 6.9
 	// holdThreshold is the evidence, in nats, at which a move takes no further step.
 	holdThreshold = 1.5
+	// clearThreshold is the evidence against a fault, in nats, at which the fault counts as ruled out: odds of ten to one.
+	clearThreshold = 2.3
 
 	minTolerableFailureRate = 0.001
 	faultyFailureRate       = 0.2
--- a/internal/move/monitor.go
+++ b/internal/move/monitor.go
@@ -176,6 +176,10 @@
 			c.slow = 1
 		}
 	}
+	c.comparable = c.warm + c.sheds
+	if baseline.GetSlow() == nil {
+		c.comparable = c.calls
+	}
 	return c
 }
 
--- a/internal/move/window.go
+++ b/internal/move/window.go
@@ -25,6 +25,9 @@
 	sheds    float64
 	warm     float64
 	slow     float64
+	// comparable is the number of calls that could show every kind of fault: warm ones and those that the upstream shed, or all
+	// while no call can count as slow.
+	comparable float64
 	// cutOff is the number of calls that were cut off before they could count as slow; calls does not include them.
 	cutOff float64
 	// baselineCalls is the number of calls behind the baseline, if that is more than calls.
@@ -124,7 +127,7 @@
 
 func (w *window) add(now time.Time, c counts) {
 	w.seconds.add(now.Unix(), c)
-	w.total += uint64(c.calls)
+	w.total += uint64(c.comparable)
 	if len(w.seconds) > windowSeconds {
 		w.seconds.trim(now)
 	}
