Take an upstream out of service that says in a response that it is leaving

Cause: the header was read by nobody, so that an upstream whose announcement is late, lost or never sent got calls until it was gone. Change: the node beside the upstream acts on the first response that says so, before it passes the response on: it refuses what is queued and what comes, and publishes that the upstream is gone. An upstream that goes on announcing itself is remembered as leaving for as long; it was forgotten after some silence before, and the next announcement would have brought it back. A response with status 421 comes from another upstream at the address and says nothing.

--- a/internal/local/notice.go
+++ b/internal/local/notice.go
@@ -8,8 +8,8 @@
 	"go.uber.org/zap"
 )
 
-// applyNotices applies what an upstream says of itself in the header of a response: how many calls a second it takes. A nil
-// header says nothing.
+// applyNotices applies what an upstream says of itself in the header of a response: how many calls a second it takes, and that it is
+// leaving. A nil header says nothing.
 func (r *Registry) applyNotices(u *upstream, header http.Header, started time.Time) {
 	if header == nil {
 		return
@@ -17,6 +17,20 @@
 	if perSecond, named, valid := parseLimit(header, u.headers.GetLimit()); valid && u.pacer.ObserveLimit(perSecond, named, started) {
 		r.cfg.Logger.Info("upstream limit changed", zap.String("service", u.service), zap.String("upstream", u.id), zap.Bool("limited", named), zap.Float64("per_second", perSecond))
 	}
+	if name := u.headers.GetLeaving(); name != "" && header.Get(name) == "1" && r.leave(u) {
+		r.publish()
+	}
+}
+
+// leave takes an upstream out of service that said in a response that it is leaving, and reports whether that is news.
+func (r *Registry) leave(u *upstream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u.leaving {
+		return false
+	}
+	r.markLeaving(u, "response")
+	return true
 }
 
 // parseLimit returns the limit in calls per second that a header names, if any; it is not valid if it cannot be read.
--- a/internal/local/notice_test.go
+++ b/internal/local/notice_test.go
@@ -13,7 +13,10 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
-const limitHeader = "Limit"
+const (
+	limitHeader   = "Limit"
+	leavingHeader = "Leaving"
+)
 
 // noticeFixture is a registry with a manual clock and one upstream that announces its start.
 type noticeFixture struct {
@@ -31,7 +34,7 @@
 	f.Registry = New(Config{
 		Logger: zap.NewNop(), Now: func() time.Time { return f.now }, QueueFactor: 1, MaxBodyBytes: maxBodyBytes,
 		Headers: &wirepb.HeaderNames{
-			RequestId: HeaderCallID, TimeLeft: HeaderTimeLeft, ExpectedUpstream: "Expected", NotRun: "Not-Run", Limit: limitHeader,
+			RequestId: HeaderCallID, TimeLeft: HeaderTimeLeft, ExpectedUpstream: "Expected", NotRun: "Not-Run", Limit: limitHeader, Leaving: leavingHeader,
 		},
 		CheckExposure:     func(Exposure) wirepb.Refusal { return wirepb.Refusal_REFUSAL_UNSPECIFIED },
 		Observe:           func(Observation) func(Observation) { return func(Observation) {} },
@@ -50,6 +53,50 @@
 	}))
 }
 
+// Guards against calls that reach an upstream after it said in a response that it is leaving (DRAIN), whatever it announces then.
+func TestUpstreamThatSaysItLeavesGetsNoFurtherCalls(t *testing.T) {
+	tests := []struct {
+		name        string
+		respond     func(w http.ResponseWriter)
+		wantsLeaves bool
+	}{
+		{"in the response to a call that ran", func(w http.ResponseWriter) { w.Header().Set(leavingHeader, "1") }, true},
+		{"in a failure", func(w http.ResponseWriter) {
+			w.Header().Set(leavingHeader, "1")
+			w.WriteHeader(http.StatusInternalServerError)
+		}, true},
+		{"in the response to a call that it did not run", func(w http.ResponseWriter) {
+			w.Header().Set(leavingHeader, "1")
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, true},
+		{"in a response of another upstream at its address", func(w http.ResponseWriter) {
+			w.Header().Set(leavingHeader, "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}, false},
+		{"not at all", func(http.ResponseWriter) {}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var calls atomic.Int64
+			f := newNoticeFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				tt.respond(w)
+			})
+			f.Call(t.Context(), newHead())
+			require.Equal(t, tt.wantsLeaves, len(f.published[len(f.published)-1]) == 0, "published upstreams")
+			for range 30 {
+				f.now = f.now.Add(f.silenceTimeout() / 2)
+				f.announce(t)
+				f.expireSilent()
+			}
+			answer := f.Call(t.Context(), newHead())
+			require.Equal(t, tt.wantsLeaves, answer.GetRefusal() == wirepb.Refusal_REFUSAL_NO_UPSTREAM)
+			require.Equal(t, tt.wantsLeaves, calls.Load() == 1, "%d calls", calls.Load())
+		})
+	}
+}
+
 // Guards against an upstream that named a limit getting more calls than it allows from all nodes together (LIMIT): those of other
 // nodes arrive here, too.
 func TestLimitOfAnUpstreamBoundsItsCalls(t *testing.T) {
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -167,6 +167,11 @@
 	if found && known.isStale(a) {
 		return false
 	}
+	if found && known.describedBy(a) && known.leaving && !known.silent && a.GetStarted() != nil {
+		// One that goes on announcing itself must be remembered as leaving for as long.
+		known.lastAnnounced, known.sequence = r.cfg.Now(), a.GetSequence()
+		return false
+	}
 	if found && known.describedBy(a) && !known.leaving {
 		known.lastAnnounced, known.sequence = r.cfg.Now(), a.GetSequence()
 		known.updateWarmAt(a, r.cfg.Now())
