Count attempts without a response in the latency of an upstream

An upstream that is too slow to respond within the time limit kept the latency of its fast calls. Change: an attempt that ended without a response counts with the time that it took, if that is above the average; one whose connection failed does not.

--- a/internal/route/pick_test.go
+++ b/internal/route/pick_test.go
@@ -51,6 +51,17 @@
 		now = now.Add(maxEjectionDuration)
 		require.Equal(t, "r-1", pickCentre(p))
 	})
+	t.Run("an upstream that does not respond in time counts as slow", func(t *testing.T) {
+		p := newPicker(upstreams("r-1", "r-1"), &now)
+		key := subsetKey{service: "shop", version: "v1"}
+		hanging := p.pick(key, nil)
+		other := p.pick(key, map[*stats]bool{hanging.stats: true})
+		answered := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_ANSWERED}
+		p.recordResult(other, tryResult{answer: answered, took: 200 * time.Millisecond})
+		p.recordResult(hanging, tryResult{answer: &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}, took: 2 * time.Second})
+		hanging.stats.faultRate = 0 // The latency alone must decide.
+		require.Equal(t, other, p.pick(key, nil), "its calls in flight are the same")
+	})
 	t.Run("a suspect node is avoided as long as there is another", func(t *testing.T) {
 		list := upstreams("r-1", "r-2")
 		list[0].PeerAddress = netip.MustParseAddrPort("127.0.0.1:2")
--- a/internal/route/stats.go
+++ b/internal/route/stats.go
@@ -62,11 +62,15 @@
 	switch answer.GetOutcome() {
 	case wirepb.Outcome_OUTCOME_ANSWERED:
 		s.unknownsSinceAnswer, s.ejections = 0, 0
-		s.latency += time.Duration(latencyWeight * float64(result.took-s.latency))
+		s.recordLatency(result.took)
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
 		s.recordRefusal(answer.GetRefusal(), now)
 		s.recordLimit(answer.GetAvailableIn().AsDuration(), now)
 	default:
+		if !result.transportFailed && result.took > s.latency {
+			// The response would have taken at least this long.
+			s.recordLatency(result.took)
+		}
 		s.unknownsSinceAnswer++
 		if result.transportFailed || s.unknownsSinceAnswer >= unknownsBeforeEjection {
 			s.eject(now)
@@ -74,6 +78,10 @@
 	}
 }
 
+func (s *stats) recordLatency(took time.Duration) {
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+}
+
 // recordFault updates the fault rate. Refusals of the upstream's node and failures of services that the upstream calls say
 // nothing about the upstream.
 func (s *stats) recordFault(answer *wirepb.AnswerHead) {
