Remember an upstream without a start time as leaving while its process runs

What callers saw: calls reached an upstream 7.65 s after it had said in a response that it is leaving, to the end of the load (own proof; the users' upstreams announce their start and are not affected). Cause: without a start time, an announcement that comes a second after an upstream left is taken for a new process at its address, so that the node took it in again with each announcement, and out with its next response. Class: identity guessed from timing. Change: an announcement whose uptime reaches back to before the upstream left comes from the process that left. TestUpstreamThatSaysItLeavesGetsNoFurtherCalls, cases with an uptime, failed before.

--- a/internal/emul/layout.go
+++ b/internal/emul/layout.go
@@ -122,10 +122,11 @@
   "caller_address": %q, "peer_address": %q, "admin_address": %q, "announce_address": %q,
   "platform_address": %q,
   "admin_token_sha256": %q,
-  "move_policy": %q, "pick_policy": %q, "max_children": %d
+  "move_policy": %q, "pick_policy": %q, "max_children": %d,
+  "headers": {"limit": %q, "leaving": %q}
 }
 `, d.Name, v.DataCentre, v.Service, v.Node, d.Region, v.DataCentre, v.CallerAddress(), v.PeerAddress(), v.AdminAddress(), v.AnnounceAddress(),
-			cfg.PlatformAddress, cfg.AdminTokenSHA256, cfg.MovePolicy, cfg.PickPolicy, cfg.MaxChildren)
+			cfg.PlatformAddress, cfg.AdminTokenSHA256, cfg.MovePolicy, cfg.PickPolicy, cfg.MaxChildren, HeaderLimit, HeaderLeaving)
 		if err := os.WriteFile(filepath.Join(cfg.Directory, v.Node+".jsonc"), []byte(text), layoutFileMode); err != nil {
 			return errors.Wrap(err, "write node settings")
 		}
--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,8 +33,21 @@
 	loadReportInterval  = 3 * time.Second
 )
 
-// HeaderRequestID is the header with the caller's id of a request.
-const HeaderRequestID = "X-Request-Id"
+// Headers of requests and responses.
+const (
+	// HeaderRequestID is the header with the caller's id of a request.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderLimit and HeaderLeaving are the headers in which an upstream names its limit and says that it is leaving.
+	HeaderLimit   = "X-Limit"
+	HeaderLeaving = "X-Leaving"
+)
+
+// Notices are what an upstream says of itself in its responses.
+type Notices struct {
+	// Limit is the number of calls a second that it takes; zero means that it names none.
+	Limit   float64
+	Leaving bool
+}
 
 // UpstreamConfig configures an Upstream.
 type UpstreamConfig struct {
@@ -99,6 +114,9 @@
 	firstCallAt  time.Time
 	startedAt    time.Time
 	counts       ExecutionCounts
+	notices      Notices
+	// arrivals holds when calls arrived.
+	arrivals []time.Time
 }
 
 // NewUpstream returns an upstream that is not yet serving.
@@ -177,6 +195,32 @@
 	u.cfg.Fault = fault
 }
 
+// SetNotices replaces what the upstream says of itself in its responses.
+func (u *Upstream) SetNotices(notices Notices) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.notices = notices
+}
+
+// Arrivals returns when the calls so far arrived.
+func (u *Upstream) Arrivals() []time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.arrivals)
+}
+
+// setNoticeHeaders adds the notices to a response.
+func (u *Upstream) setNoticeHeaders(header http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.notices.Limit > 0 {
+		header.Set(HeaderLimit, strconv.FormatFloat(u.notices.Limit, 'f', -1, 64))
+	}
+	if u.notices.Leaving {
+		header.Set(HeaderLeaving, "1")
+	}
+}
+
 // Crash stops the upstream at once, without finishing its calls or announcing to its node that it leaves.
 func (u *Upstream) Crash() { u.crash() }
 
@@ -253,6 +297,7 @@
 	}
 	fault, cold, admitted := u.beginCall(r)
 	defer u.endCall(fault.Kind != FaultNone)
+	u.setNoticeHeaders(w.Header())
 	if !admitted {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
@@ -287,6 +332,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
+	u.arrivals = append(u.arrivals, now)
 	if u.firstCallAt.IsZero() {
 		u.firstCallAt = now
 	}
--- a/internal/local/notice_test.go
+++ b/internal/local/notice_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -21,16 +22,18 @@
 // noticeFixture is a registry with a manual clock and one upstream that announces its start.
 type noticeFixture struct {
 	*Registry
-	now       time.Time
-	started   time.Time
-	address   string
-	sequence  uint64
-	published [][]*wirepb.MemberUpstream
+	now      time.Time
+	started  time.Time
+	address  string
+	sequence uint64
+	// announcesUptime means that the upstream announces its uptime instead of its start time.
+	announcesUptime bool
+	published       [][]*wirepb.MemberUpstream
 }
 
-func newNoticeFixture(t *testing.T, handler http.HandlerFunc) *noticeFixture {
+func newNoticeFixture(t *testing.T, handler http.HandlerFunc, announcesUptime bool) *noticeFixture {
 	t.Helper()
-	f := &noticeFixture{now: time.Unix(1_700_000_000, 0), started: time.Unix(1_700_000_000, 0), address: serve(t, handler)}
+	f := &noticeFixture{announcesUptime: announcesUptime, now: time.Unix(1_700_000_000, 0), started: time.Unix(1_700_000_000, 0), address: serve(t, handler)}
 	f.Registry = New(Config{
 		Logger: zap.NewNop(), Now: func() time.Time { return f.now }, QueueFactor: 1, MaxBodyBytes: maxBodyBytes,
 		Headers: &wirepb.HeaderNames{
@@ -47,14 +50,24 @@
 func (f *noticeFixture) announce(t *testing.T) {
 	t.Helper()
 	f.sequence++
-	require.NoError(t, f.Announce(&wirepb.Announcement{
-		Id: "i-1", Service: "shop", Version: "v1", Address: f.address, Slots: 2, Connections: 4,
-		Started: timestamppb.New(f.started), Sequence: f.sequence,
-	}))
+	announcement := &wirepb.Announcement{Id: "i-1", Service: "shop", Version: "v1", Address: f.address, Slots: 2, Connections: 4}
+	if f.announcesUptime {
+		announcement.Uptime = durationpb.New(f.now.Sub(f.started))
+	} else {
+		announcement.Started, announcement.Sequence = timestamppb.New(f.started), f.sequence
+	}
+	require.NoError(t, f.Announce(announcement))
 }
 
 // Guards against calls that reach an upstream after it said in a response that it is leaving (DRAIN), whatever it announces then.
 func TestUpstreamThatSaysItLeavesGetsNoFurtherCalls(t *testing.T) {
+	for _, announced := range []string{"start time", "uptime"} {
+		t.Run("announces its "+announced, func(t *testing.T) { testUpstreamThatSaysItLeaves(t, announced == "uptime") })
+	}
+}
+
+func testUpstreamThatSaysItLeaves(t *testing.T, announcesUptime bool) {
+	t.Helper()
 	tests := []struct {
 		name        string
 		respond     func(w http.ResponseWriter)
@@ -82,7 +95,7 @@
 			f := newNoticeFixture(t, func(w http.ResponseWriter, _ *http.Request) {
 				calls.Add(1)
 				tt.respond(w)
-			})
+			}, announcesUptime)
 			f.Call(t.Context(), newHead())
 			require.Equal(t, tt.wantsLeaves, len(f.published[len(f.published)-1]) == 0, "published upstreams")
 			for range 30 {
@@ -107,7 +120,7 @@
 		if limited.Load() > 0 {
 			w.Header().Set(limitHeader, "10.0")
 		}
-	})
+	}, false)
 	offer := func() (refused int) {
 		before := calls.Load()
 		for range duration * offeredPerSecond {
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -167,7 +167,7 @@
 	if found && known.isStale(a) {
 		return false
 	}
-	if found && known.describedBy(a) && known.leaving && !known.silent && a.GetStarted() != nil {
+	if found && known.describedBy(a) && known.leaving && !known.silent && known.isSameProcess(a, r.cfg.Now()) {
 		// One that goes on announcing itself must be remembered as leaving for as long.
 		known.lastAnnounced, known.sequence = r.cfg.Now(), a.GetSequence()
 		return false
