Let an upstream name a limit in the soak

Cause: no random faults met limits: kills, freezes, stops, reloads, connection faults and changes now come beside one. The draws of the other faults stay, so that earlier seeds repeat them.

--- a/test/proof/soak_test.go
+++ b/test/proof/soak_test.go
@@ -95,6 +95,7 @@
 	})
 	stopMonitor := s.monitorRevisions()
 	wait := s.sendLoad(soakDuration+recoveryTimeout/3, orderAndShopLoads...)
+	s.faultsRunning.Go(func() { s.limitUpstream(seed) })
 	s.injectRandomFaults()
 	s.faultsRunning.Wait()
 	s.clearFaults()
@@ -245,6 +246,27 @@
 	s.acceptedRevision = max(s.acceptedRevision, reply.GetRevision())
 }
 
+// limitUpstream lets one upstream name a limit for most of the soak and checks that it is kept. It has random numbers of its own, so
+// that the other faults of a seed stay the same.
+func (s *soak) limitUpstream(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	limited := s.upstreams[s.vms[random.IntN(len(s.vms))].UpstreamAddress(0)]
+	perSecond := 3 + 10*random.Float64()
+	time.Sleep(time.Duration(random.Int64N(int64(soakDuration / 4))))
+	limited.SetNotices(emul.Notices{Limit: perSecond})
+	before, named := len(limited.Arrivals()), time.Now()
+	time.Sleep(soakDuration / 2)
+	arrivals := limited.Arrivals()
+	limited.SetNotices(emul.Notices{})
+	if len(arrivals) == before {
+		return
+	}
+	most, bound := mostInWindow(arrivals, named.Add(limitBindsAfter)), maxLimitFactor*perSecond*limitWindow.Seconds()+maxLimitSlack
+	if float64(most) > bound {
+		s.t.Errorf("%s upstream with a limit of %.1f per second got %d calls in %s, %.0f allowed", limited.cfg.Service, perSecond, most, limitWindow, bound)
+	}
+}
+
 func (s *soak) clearFaults() {
 	s.platform.SetFaults(emul.PlatformFaults{})
 	for _, p := range s.proxies {
