--- a/internal/admit/pacer.go
+++ b/internal/admit/pacer.go
@@ -13,10 +13,10 @@
 	burstDuration = 500 * time.Millisecond
 	// minPacedRate is the least rate of calls, per second: without any, the end of a limit would go unnoticed.
 	minPacedRate = 0.25
-	// maxUnheardInFlight is the number of calls that may run on an upstream that may have named a limit to an earlier
-	// incarnation of the node, until its first response.
-	maxUnheardInFlight = 6
-	unheardRetryDelay  = 50 * time.Millisecond
+	// maxUnknownInFlight is the number of calls that may run while it is unknown whether the upstream limits its calls. With six, the
+	// calls in any 4 s stay within one and a half times the limit and five more, for limits from one call per second.
+	maxUnknownInFlight = 6
+	unknownRetryDelay  = 50 * time.Millisecond
 	// delayMargin covers rounding, so that a call may be sent after the delay that was told.
 	delayMargin = 10 * time.Microsecond
 	// reservedFraction is the part of the saved-up calls that is reserved for higher ranks.
@@ -26,8 +26,8 @@
 // PacerConfig configures a Pacer.
 type PacerConfig struct {
 	Now func() time.Time
-	// Unheard means that the upstream was running before the node and may have named a limit already.
-	Unheard bool
+	// Unknown means that the upstream was running before the node: until its first response, it is unknown whether it named a limit.
+	Unknown bool
 }
 
 // Pacer keeps the rate of calls to one upstream within the limit that the upstream names in its responses. All calls to an upstream
@@ -36,7 +36,7 @@
 	cfg PacerConfig
 
 	mu      sync.Mutex
-	unheard bool
+	unknown bool
 	// limiter is nil while the upstream names no limit.
 	limiter   *rate.Limiter
 	perSecond float64
@@ -45,14 +45,14 @@
 }
 
 // NewPacer returns a pacer without a limit.
-func NewPacer(cfg PacerConfig) *Pacer { return &Pacer{cfg: cfg, unheard: cfg.Unheard} }
+func NewPacer(cfg PacerConfig) *Pacer { return &Pacer{cfg: cfg, unknown: cfg.Unknown} }
 
 // ObserveLimit applies the limit, in calls per second, that the response to a call names, and reports whether it changed. A response
 // without one ends the limit if its call started after the limit was named; it may have been sent before otherwise.
 func (p *Pacer) ObserveLimit(perSecond float64, named bool, started time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.unheard = false
+	p.unknown = false
 	now := p.cfg.Now()
 	switch {
 	case !named && (p.limiter == nil || !started.After(p.namedAt)):
@@ -105,8 +105,8 @@
 
 func (p *Pacer) delay(request Request, running int) time.Duration {
 	switch {
-	case p.limiter == nil && p.unheard && running >= maxUnheardInFlight:
-		return unheardRetryDelay
+	case p.limiter == nil && p.unknown && running >= maxUnknownInFlight:
+		return unknownRetryDelay
 	case p.limiter == nil:
 		return 0
 	}
--- a/internal/admit/pacer_test.go
+++ b/internal/admit/pacer_test.go
@@ -30,9 +30,9 @@
 
 var pacerStart = time.Unix(1_700_000_000, 0)
 
-func newPacedUpstream(unheard bool, limit func(at time.Time) (float64, bool)) *pacedUpstream {
+func newPacedUpstream(unknown bool, limit func(at time.Time) (float64, bool)) *pacedUpstream {
 	u := &pacedUpstream{now: pacerStart, limit: limit}
-	u.Pacer = NewPacer(PacerConfig{Now: func() time.Time { return u.now }, Unheard: unheard})
+	u.Pacer = NewPacer(PacerConfig{Now: func() time.Time { return u.now }, Unknown: unknown})
 	return u
 }
 
--- a/internal/local/notice.go
+++ b/internal/local/notice.go
@@ -48,12 +48,3 @@
 	}
 	return perSecond, true, true
 }
-
-// limit returns the limit of an upstream, or nil if it has named none.
-func (u *upstream) limit() *float64 {
-	perSecond, limited := u.pacer.Limit()
-	if !limited {
-		return nil
-	}
-	return &perSecond
-}
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -363,21 +363,6 @@
 	return services
 }
 
-// Status describes all local upstreams.
-func (r *Registry) Status() []*wirepb.UpstreamStatus {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := make([]*wirepb.UpstreamStatus, 0, len(r.upstreams))
-	for _, u := range r.upstreams {
-		list = append(list, &wirepb.UpstreamStatus{
-			Service: u.service, Version: u.version, Address: u.address.String(),
-			Slots: u.slots, InFlight: uint32(u.limiter.Running()), Leaving: u.leaving, Limit: u.limit(),
-		})
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].GetAddress() < list[j].GetAddress() })
-	return list
-}
-
 // isVersionAllowed reports whether a call may go to a version.
 func isVersionAllowed(head *wirepb.CallHead, version string) bool {
 	if head.GetVersion() == "" {
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -61,7 +61,7 @@
 			Slots: int(a.GetSlots()), QueueSize: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
 		}),
 		pacer: admit.NewPacer(admit.PacerConfig{
-			Now: cfg.Now, Unheard: a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt),
+			Now: cfg.Now, Unknown: a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt),
 		}),
 		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers,
 	}
--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -36,14 +36,12 @@
 	return worst
 }
 
-// slowEvidence returns the evidence from all calls so far that the new version is slow on some routes together; it is negative if
-// they speak against that.
-func (v view) slowEvidence(baselines map[string]*wirepb.RouteBaseline, routes ...string) float64 {
+// slowEvidence returns the evidence from all calls so far that the new version is slow on a route; it is negative if they speak
+// against that.
+func (r *routeView) slowEvidence(known *wirepb.RouteBaseline) float64 {
 	sum := 0.0
-	for _, name := range routes {
-		for _, e := range v[name].evidenceBySecond(baselines[name]) {
-			sum += e.slow
-		}
+	for _, e := range r.evidenceBySecond(known) {
+		sum += e.slow
 	}
 	return sum
 }
--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -159,8 +159,8 @@
 		return ""
 	}
 	for _, name := range d.view.routes() {
-		known := d.baselines[name].GetSlow() != nil
-		if known && d.expectsCalls(record, d.view[name]) && d.view.slowEvidence(d.baselines, name) > -clearThreshold {
+		route, baseline := d.view[name], d.baselines[name]
+		if baseline.GetSlow() != nil && d.expectsCalls(record, route) && route.slowEvidence(baseline) > -clearThreshold {
 			return name
 		}
 	}
--- a/internal/move/running_test.go
+++ b/internal/move/running_test.go
@@ -12,14 +12,19 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
+// newSilentMonitor returns a monitor of one service with a manual clock, whose alarms are ignored.
+func newSilentMonitor(service *tree.Service, now *time.Time) *Monitor {
+	return NewMonitor(MonitorConfig{
+		Now:     func() time.Time { return *now },
+		State:   func() *tree.State { return &tree.State{Services: map[string]*tree.Service{service.Name: service}} },
+		OnAlarm: func(string) {},
+	})
+}
+
 // Guards against a step being taken while calls of the new version run that are slow already: the slowest calls end last.
 func TestRunningCallCountsAsSlowOnce(t *testing.T) {
 	service, now := newService(&wirepb.MoveRecord{}), declaredAt
-	m := NewMonitor(MonitorConfig{
-		Now:     func() time.Time { return now },
-		State:   func() *tree.State { return &tree.State{Services: map[string]*tree.Service{"shop": service}} },
-		OnAlarm: func(string) {},
-	})
+	m := newSilentMonitor(service, &now)
 	m.UpdateBaselines(service, []*wirepb.RouteBaseline{{Route: "r", Calls: 1000, Slow: durationpb.New(time.Second)}})
 	requireCounts := func(t *testing.T, calls, slow uint32) {
 		t.Helper()
--- a/internal/move/summary_test.go
+++ b/internal/move/summary_test.go
@@ -8,18 +8,13 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/local"
-	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
 // Calls that are no evidence, because they were cut off or are still running, must show in the log lines of a decision.
 func TestSummaryShowsCallsWithoutEvidence(t *testing.T) {
 	service, now := newService(&wirepb.MoveRecord{}), declaredAt
-	m := NewMonitor(MonitorConfig{
-		Now:     func() time.Time { return now },
-		State:   func() *tree.State { return &tree.State{Services: map[string]*tree.Service{"shop": service}} },
-		OnAlarm: func(string) {},
-	})
+	m := newSilentMonitor(service, &now)
 	baseline := &wirepb.RouteBaseline{Route: "r", Calls: 1000, Slow: durationpb.New(time.Second)}
 	m.UpdateBaselines(service, []*wirepb.RouteBaseline{baseline})
 	call := local.Observation{Service: "shop", Version: "v2", Route: "r", SinceFirstCall: time.Minute}
