Wait for evidence before the full share only on busy routes

Cause: found by reading the change. A move that holds at its deadline waited for evidence on every route in use, from a window of 30 s. A route with a call in ten seconds never has enough of them in it, so that the move would have waited for ever. Moves that finish by their deadline, as operators' orders do, are not affected. Change: the full share waits for the evidence on routes that are busy enough for it, whatever the policy. Test: TestRouteWithLittleTrafficDoesNotBlockTheFullShare, failed before.

--- a/internal/move/decide.go
+++ b/internal/move/decide.go
@@ -151,16 +151,16 @@
 	return ""
 }
 
-// unclearRoute returns a route with enough traffic on which the evidence does not yet rule out that the new version is slow, or an
-// empty string. The full share must not be the first to show it: slow calls are seen late, and by then most calls of the service are
-// affected.
+// unclearRoute returns a busy route on which the evidence does not yet rule out that the new version is slow, or an empty string. The
+// full share must not be the first to show it: slow calls are seen late, and by then most calls of the service are affected. On other
+// routes the window never holds enough calls to rule it out.
 func (d decision) unclearRoute(record *wirepb.MoveRecord) string {
 	if d.isForcedAtDeadline(record) {
 		return ""
 	}
 	for _, name := range d.view.routes() {
 		route, baseline := d.view[name], d.baselines[name]
-		if baseline.GetSlow() != nil && d.expectsCalls(record, route) && route.slowEvidence(baseline) > -clearThreshold {
+		if baseline.GetSlow() != nil && isBusy(record, route) && route.slowEvidence(baseline) > -clearThreshold {
 			return name
 		}
 	}
@@ -173,6 +173,11 @@
 	if record.GetAtDeadline() != wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH {
 		return r.used()
 	}
+	return isBusy(record, r)
+}
+
+// isBusy reports whether a route has so much traffic that the new version's share gives it enough calls in the shortest step.
+func isBusy(record *wirepb.MoveRecord, r *routeView) bool {
 	share := float64(record.GetSharePermille()) / fullSharePermille
 	return r.callsPerSecond()*share*minStepDuration.Seconds() >= minRouteCalls
 }
--- a/internal/move/steps_test.go
+++ b/internal/move/steps_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// Guards against a move that holds at its deadline waiting for ever for evidence on a route of which the window holds few calls.
+func TestRouteWithLittleTrafficDoesNotBlockTheFullShare(t *testing.T) {
+	rare := newRouteView(seconds(10, callCounts{calls: 1}), []callCounts{{calls: 1}})
+	rare.newTotalCalls = 2 * minRouteCalls
+	d := decision{
+		service: newService(&wirepb.MoveRecord{Step: 3, SharePermille: 250, AtDeadline: wirepb.DeadlinePolicy_DEADLINE_POLICY_HOLD}),
+		now:     declaredAt.Add(50 * time.Second), newUpstreams: 3, callsAtStepStart: map[string]uint64{},
+		view:      view{"r": newRouteView(seconds(10, callCounts{calls: 40, slow: 1}), seconds(10, callCounts{calls: 4})), "rare": rare},
+		baselines: map[string]*wirepb.RouteBaseline{"rare": {Route: "rare", Calls: 400, Slow: durationpb.New(time.Second)}},
+	}
+	require.Equal(t, uint32(fullSharePermille), d.nextRecord().GetSharePermille())
+}
+
 // Guards against steps that are taken on calls which cannot show a fault: those in a cold start cannot count as slow.
 func TestOnlyComparableCallsCountForAStep(t *testing.T) {
 	known := &wirepb.RouteBaseline{Slow: durationpb.New(time.Second), SlowIfCutOff: durationpb.New(time.Second)}
