Review: show a server that left and gets requests again (DRAIN)

Cause: what a node acknowledged of a leaving server is held in the memory of its process only; after a restart a late heartbeat registers the server again.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
 	"stray": runStray,
+	"leave": runLeave,
 }
 
 // smallLayout returns two services with two machines each in two zones.
