Review: show requests that a planned stop breaks off (LOST)

Cause: stop_timeout is 5.05 s in the deploy file's template, whatever grace_period the platform gives.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,6 +28,7 @@
 }
 
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
+	"stop":  runStop,
 	"stray": runStray,
 	"leave": runLeave,
 }
