--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,6 +31,7 @@
 	"stop":  runStop,
 	"stray": runStray,
 	"leave": runLeave,
+	"large": runLarge,
 }
 
 // smallLayout returns two services with two machines each in two zones.
