--- a/review/stand/case_large.go
+++ b/review/stand/case_large.go
@@ -16,11 +16,13 @@
 	memoryLimitKB = 284 << 10
 	// uploadBytes is a quarter of max_body_bytes in the users' example of a configuration, and below the limit of the settings.
 	uploadBytes = 16_000_000
-	uploads     = 8
+	// uploads come beside ordinaryClients: 1.67 times the usual clients of a machine, where a burst has 1.7 times at most.
+	uploads = 8
 	// largeRounds is the number of times that clients upload at a machine.
 	largeRounds     = 3
-	ordinaryClients = 6
+	ordinaryClients = 12
 	ordinaryWork    = 290 * time.Millisecond
+	ordinaryPause   = 50 * time.Millisecond
 	watchInterval   = 2 * time.Millisecond
 	// maxLost is the number of requests that the rule LOST allows.
 	maxLost = 3
@@ -100,9 +102,7 @@
 					lost = append(lost, a)
 					mu.Unlock()
 				}
-				if a.err != nil || a.status != 200 {
-					time.Sleep(100 * time.Millisecond)
-				}
+				time.Sleep(ordinaryPause)
 			}
 		})
 	}
