--- a/review/stand/case_stray.go
+++ b/review/stand/case_stray.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -19,13 +21,26 @@
 // strayBytes belong to no request: they carry neither an id nor a stamp.
 const strayBytes = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nstray\n"
 
+// strayShed are the bytes with STRAY=shed: the users' example of an answer of a server that sheds, without an id as there.
+const strayShed = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
 // runStray has some servers send additional bytes after 3 in 100 of their answers, late: while the next request of the
 // connection runs.
 func runStray(d *deployment, trouble bool) (verdict, error) {
+	stray := strayBytes
+	if os.Getenv("STRAY") == "shed" {
+		stray = strayShed
+	}
 	var mu sync.Mutex
 	until := time.Time{}
+	runs := map[string]int{}
 	pending := map[string]bool{}
 	err := startServing(d, func(m *machine) {
+		m.server.onArrival = func(r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			runs[r.Header.Get("X-Request-Id")]++
+		}
 		if m.zone != "leinster-a" {
 			// One of the two servers of each service is faulty: 0.5 of them, where the sheet allows strayShare.
 			return
@@ -39,7 +54,7 @@
 			if !due || served == 0 {
 				return nil
 			}
-			return []byte(strayBytes)
+			return []byte(stray)
 		}
 	})
 	if err != nil {
@@ -68,8 +83,14 @@
 		})
 	}
 	wait.Wait()
-	mixed, first := 0, ""
+	mixed, twice, refused, first := 0, 0, 0, ""
 	for _, a := range answers {
+		if a.method == http.MethodPost && runs[a.id] > 1 {
+			twice++
+		}
+		if a.method == http.MethodPost && a.whole() && a.status == http.StatusServiceUnavailable && runs[a.id] > 0 {
+			refused++
+		}
 		if a.whole() && a.status/100 == 2 && a.stamp != stamp(a.id, a.body) {
 			mixed++
 			if first == "" {
@@ -77,5 +98,7 @@
 			}
 		}
 	}
-	return verdict{broken: mixed > 0, text: fmt.Sprintf("%d of %d answers were successes without the server's stamp; %s", mixed, len(answers), first)}, nil
+	return verdict{broken: mixed+twice+refused > 0, text: fmt.Sprintf(
+		"%d of %d answers were successes without the server's stamp (MIXED), %d unsafe requests ran more than once (TWICE), %d were answered 503 and had run (REFUSED); %s",
+		mixed, len(answers), twice, refused, first)}, nil
 }
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -16,6 +16,7 @@
 // answer is what a client saw of one request.
 type answer struct {
 	id     string
+	method string
 	sentAt time.Time
 	// sent says that the whole request was written.
 	sent   bool
@@ -54,7 +55,7 @@
 
 // do sends one request, without retries, and waits for its answer until the deadline.
 func (c *client) do(r request) answer {
-	a := answer{id: fmt.Sprintf("%s-%06d", c.name, lastID.Add(1)), sentAt: time.Now()}
+	a := answer{method: r.method, id: fmt.Sprintf("%s-%06d", c.name, lastID.Add(1)), sentAt: time.Now()}
 	c.record.add("send", "client", c.name, "node", c.node, "id", a.id, "method", r.method, "path", r.path, "bytes", len(r.body), "work", r.work)
 	a = c.exchange(r, a)
 	a.took = time.Since(a.sentAt)
