Log and measure the stages from a change to its coming into force

Cause: the logs could not tell the hypotheses of the late 404 apart: nothing said how long the platform took, how often a commit was tried, from whom and how old a node got a change, how long it compiled, or that a process stood still.

Change: lines for slow operations on the platform, commits and standstills; stage times on the lines of a row's commit, of changes applied and of the 404; histograms platform_seconds and change_age_seconds.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -140,7 +140,16 @@
 		return nil, io.EOF
 	}
 	_ = c.netConn.SetReadDeadline(time.Time{})
-	return request, nil
+	return request.WithContext(context.WithValue(c.requestContext, receivedKey{}, time.Now())), nil
+}
+
+// receivedKey is the key of the time at which a request had been read, among the values of its context.
+type receivedKey struct{}
+
+// ReceivedAt returns when a request had been read, or the zero time if no Server did so.
+func ReceivedAt(r *http.Request) time.Time {
+	at, _ := r.Context().Value(receivedKey{}).(time.Time)
+	return at
 }
 
 // isConnError reports whether the caller closed the connection or was too slow, rather than sent an invalid request.
@@ -226,7 +235,7 @@
 			w = &bufferedResponse{header: http.Header{}, status: http.StatusBadGateway}
 		}
 	}()
-	handler.ServeHTTP(w, request.WithContext(c.requestContext))
+	handler.ServeHTTP(w, request)
 	return w
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -26,6 +26,9 @@
 	invalidInputs *prometheus.CounterVec
 	retries       prometheus.Counter
 	evidenceBytes prometheus.Counter
+	// platformSeconds and changeAges hold the times of operations on the platform and from a change to its coming into force.
+	platformSeconds *prometheus.HistogramVec
+	changeAges      prometheus.Histogram
 }
 
 // New registers the metrics of calls, retries and evidence, and those of the Go runtime and the process.
@@ -48,7 +51,13 @@
 			Namespace: namespace, Name: "evidence_sent_bytes_total", Help: "Bytes of evidence sent to deciders.",
 		}),
 	}
-	m.registry.MustRegister(m.calls, m.callSeconds, m.invalidInputs, m.retries, m.evidenceBytes,
+	m.platformSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "platform_seconds", Help: "Time of an operation on the platform, by kind.", Buckets: callSecondsBuckets,
+	}, []string{"operation"})
+	m.changeAges = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "change_age_seconds", Help: "Time from a change to its coming into force on this node.", Buckets: callSecondsBuckets,
+	})
+	m.registry.MustRegister(m.calls, m.callSeconds, m.invalidInputs, m.retries, m.evidenceBytes, m.platformSeconds, m.changeAges,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -67,6 +76,14 @@
 // CountInvalidInput counts an invalid input by its face, the interface that received it.
 func (m *Metrics) CountInvalidInput(face string) { m.invalidInputs.WithLabelValues(face).Inc() }
 
+// ObservePlatform records the time of an operation on the platform.
+func (m *Metrics) ObservePlatform(operation string, took time.Duration) {
+	m.platformSeconds.WithLabelValues(operation).Observe(took.Seconds())
+}
+
+// ObserveChangeAge records the time from a change to its coming into force.
+func (m *Metrics) ObserveChangeAge(age time.Duration) { m.changeAges.Observe(age.Seconds()) }
+
 // CountRetry counts a call that was sent again.
 func (m *Metrics) CountRetry() { m.retries.Inc() }
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/dig"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericdale/turmericdale/internal/admin"
@@ -56,12 +57,24 @@
 
 type clock func() time.Time
 
-func newStore(s *conf.Settings) *store.Client {
-	return store.New(store.Config{Address: s.PlatformAddress})
+// slowOperationThreshold is the time from which an operation on the platform is logged, at most slowOperationsLogged of them a second.
+const (
+	slowOperationThreshold = 250 * time.Millisecond
+	slowOperationsLogged   = 5
+)
+
+func newStore(s *conf.Settings, logger *zap.Logger, metrics *meter.Metrics) *store.Client {
+	limiter := rate.NewLimiter(slowOperationsLogged, slowOperationsLogged)
+	return store.New(store.Config{Address: s.PlatformAddress, Observe: func(operation string, took time.Duration, err error) {
+		metrics.ObservePlatform(operation, took)
+		if took >= slowOperationThreshold && limiter.Allow() {
+			logger.Info("slow platform operation", zap.String("operation", operation), zap.Duration("took", took), zap.Error(err))
+		}
+	}})
 }
 
-func newLog(s *conf.Settings, client *store.Client, logger *zap.Logger, now clock) *oplog.Log {
-	cfg := oplog.Config{Store: client, Logger: logger, Now: now}
+func newLog(s *conf.Settings, client *store.Client, logger *zap.Logger, now clock, metrics *meter.Metrics) *oplog.Log {
+	cfg := oplog.Config{Store: client, Logger: logger, Now: now, OnApplied: metrics.ObserveChangeAge}
 	if s.OperatorRows {
 		cfg.ExportRows = source.StatusRows
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,6 +216,7 @@
 	run(n.moveController.Run)
 	run(n.localRegistry.RunExpiry)
 	run(n.runExpiry)
+	run(n.watchStalls)
 	if n.settings.OperatorRows {
 		run(n.importer.Run)
 	}
--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -110,7 +110,8 @@
 }
 
 func (l *Log) commitBatch(ctx context.Context, batch []*submission) {
-	for range maxCommitAttempts {
+	started := l.now()
+	for attempt := 1; attempt <= maxCommitAttempts; attempt++ {
 		head, version, err := l.sync(ctx)
 		if err != nil {
 			replyAll(batch, 0, err)
@@ -121,12 +122,15 @@
 		if len(batch) == 0 {
 			return
 		}
+		writing := l.now()
 		committed, err := l.writeChanges(ctx, head, version, changes)
 		if err != nil {
 			replyAll(batch, 0, err)
 			return
 		}
 		if committed {
+			l.logger.Info("changes committed", zap.Uint64("revision", changes[len(changes)-1].GetRevision()), zap.Int("changes", len(changes)),
+				zap.Int("attempts", attempt), zap.Duration("took", l.now().Sub(started)), zap.Duration("written_in", l.now().Sub(writing)))
 			l.applyCommitted(ctx, head, batch, changes)
 			return
 		}
@@ -291,7 +295,7 @@
 }
 
 func (l *Log) applyCommitted(ctx context.Context, head *wirepb.Head, batch []*submission, changes []*wirepb.Change) {
-	l.ApplyChanges(changes)
+	l.ApplyChanges(changes, Origin{ReceivedAt: l.now()})
 	for i, s := range batch {
 		s.reply <- submissionResult{revision: changes[i].GetRevision()}
 	}
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -25,6 +25,15 @@
 	Jitter func() float64
 	// ExportRows returns the rows of other tables that are written along with a change; nil means none.
 	ExportRows func(change *wirepb.Change) ([]*wirepb.Row, error)
+	// OnApplied is called for each change that comes into force, with its age; nil means that nothing is.
+	OnApplied func(age time.Duration)
+}
+
+// Origin says from where and when a node received changes.
+type Origin struct {
+	// Node is the node that sent the changes, or empty if they were read from the platform or committed here.
+	Node       string
+	ReceivedAt time.Time
 }
 
 // InvalidRevision names a revision that was not applied because a check failed, and the reason.
@@ -40,6 +49,7 @@
 	now        func() time.Time
 	jitter     func() float64
 	exportRows func(change *wirepb.Change) ([]*wirepb.Row, error)
+	onApplied  func(age time.Duration)
 
 	state         atomic.Pointer[tree.State]
 	invalid       atomic.Pointer[InvalidRevision]
@@ -88,8 +98,11 @@
 	if cfg.Jitter == nil {
 		cfg.Jitter = rand.Float64
 	}
+	if cfg.OnApplied == nil {
+		cfg.OnApplied = func(time.Duration) {}
+	}
 	l := &Log{
-		store: cfg.Store, logger: cfg.Logger, now: cfg.Now, jitter: cfg.Jitter, exportRows: cfg.ExportRows,
+		store: cfg.Store, logger: cfg.Logger, now: cfg.Now, jitter: cfg.Jitter, exportRows: cfg.ExportRows, onApplied: cfg.OnApplied,
 		queue:   make(chan *submission, maxQueuedChanges),
 		changed: make(chan struct{}),
 	}
@@ -114,9 +127,10 @@
 }
 
 // ApplyChanges applies consecutive changes, without those already applied, and reports whether changes before them are missing.
-func (l *Log) ApplyChanges(changes []*wirepb.Change) bool {
+func (l *Log) ApplyChanges(changes []*wirepb.Change, origin Origin) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	started := l.now()
 	state := l.State()
 	for len(changes) > 0 && changes[0].GetRevision() <= state.Revision {
 		changes = changes[1:]
@@ -138,10 +152,22 @@
 		l.recentChanges = append([]*wirepb.Change(nil), l.recentChanges[len(l.recentChanges)-recentChangesKept:]...)
 	}
 	l.setState(next)
-	l.logger.Info("changes applied", zap.Uint64("revision", next.Revision), zap.Int("changes", len(changes)))
+	l.logApplied(changes, origin, started)
 	return false
 }
 
+// logApplied reports changes that came into force, with the age of the oldest one and the times of the stages on this node. The age
+// depends on the clock of the node that committed the change.
+func (l *Log) logApplied(changes []*wirepb.Change, origin Origin, started time.Time) {
+	now := l.now()
+	for _, c := range changes {
+		l.onApplied(now.Sub(c.GetTime().AsTime()))
+	}
+	l.logger.Info("changes applied", zap.Uint64("revision", changes[len(changes)-1].GetRevision()), zap.Int("changes", len(changes)),
+		zap.String("from", origin.Node), zap.Duration("age", now.Sub(changes[0].GetTime().AsTime())),
+		zap.Duration("waited", started.Sub(origin.ReceivedAt)), zap.Duration("compiled_in", now.Sub(started)))
+}
+
 // ApplySnapshot replaces the current state by a snapshot if the snapshot is newer.
 func (l *Log) ApplySnapshot(snapshot *wirepb.Snapshot) {
 	l.mu.Lock()
--- a/internal/oplog/sync.go
+++ b/internal/oplog/sync.go
@@ -90,11 +90,12 @@
 	if err != nil {
 		return err
 	}
+	received := l.now()
 	changes, err := l.decodeChanges(ctx, rows)
 	if err != nil {
 		return err
 	}
-	if l.ApplyChanges(changes) {
+	if l.ApplyChanges(changes, Origin{ReceivedAt: received}) {
 		return l.loadSnapshot(ctx, head.GetSnapshotRevision())
 	}
 	return nil
--- a/internal/relay/changes.go
+++ b/internal/relay/changes.go
@@ -154,6 +154,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
+	origin := oplog.Origin{Node: l.node, ReceivedAt: l.hub.cfg.Now()}
 	if err := oplog.Unpack(changes); err != nil {
 		return err
 	}
@@ -164,7 +165,7 @@
 	if l.wan || l.betweenRelays && batch.GetSpread() {
 		l.hub.markDistributed(last)
 	}
-	if !l.hub.cfg.Log.ApplyChanges(changes) {
+	if !l.hub.cfg.Log.ApplyChanges(changes, origin) {
 		return nil
 	}
 	resume := &wirepb.ChangeRequestFrom{Revision: l.hub.cfg.Log.State().Revision}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -129,7 +129,7 @@
 	}
 	newWANLink := func() (*link, net.Conn) {
 		h := newHub()
-		h.cfg.Log.ApplyChanges([]*wirepb.Change{large})
+		h.cfg.Log.ApplyChanges([]*wirepb.Change{large}, oplog.Origin{})
 		l, remote := newLink(t, h, "remote")
 		l.betweenRelays, l.wan, l.revision = true, true, 0
 		return l, remote
@@ -155,7 +155,7 @@
 	for _, accepted := range []bool{true, false} {
 		t.Run(fmt.Sprintf("accepted: %t", accepted), func(t *testing.T) {
 			h, receiver := newHub(), newHub()
-			h.cfg.Log.ApplyChanges([]*wirepb.Change{proto.CloneOf(large)})
+			h.cfg.Log.ApplyChanges([]*wirepb.Change{proto.CloneOf(large)}, oplog.Origin{})
 			l, remote := newLink(t, h, "remote")
 			l.packedChanges = accepted
 			go func() { _ = l.sendChanges(true) }()
--- a/internal/route/log.go
+++ b/internal/route/log.go
@@ -30,3 +30,11 @@
 		zap.Uint32("status", answer.GetStatus()), zap.Duration("took", p.cfg.Now().Sub(c.started)),
 		zap.Duration("time_left", c.deadline.Sub(p.cfg.Now())))
 }
+
+// waitedSince returns the time from the receipt of a request to now, or zero if the receipt is unknown.
+func waitedSince(received, now time.Time) time.Duration {
+	if received.IsZero() {
+		return 0
+	}
+	return now.Sub(received)
+}
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/claim"
+	"github.com/turmericdale/turmericdale/internal/front"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/move"
 	"github.com/turmericdale/turmericdale/internal/peer"
@@ -110,7 +111,8 @@
 	route := state.MatchRoute(requestHost(r), requestPath(r))
 	if route == nil {
 		p.cfg.Logger.Info("request matches no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", requestHost(r)),
-			zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion))
+			zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion),
+			zap.Duration("waited", waitedSince(front.ReceivedAt(r), started)))
 		p.refuseRequest(w, &RequestError{Status: http.StatusNotFound, Kind: "no_route", Detail: "no route has a prefix of this path"})
 		return
 	}
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -53,13 +53,15 @@
 	// cursor is the version up to which the table has been read; 0 means that the whole table must be read.
 	cursor uint64
 	rows   map[string]*wirepb.Row
+	// readAt holds the times at which the rows were read.
+	readAt map[string]time.Time
 	// invalid holds the latest invalid version of a row, by its key.
 	invalid map[string]uint64
 }
 
 // New returns an importer that has read nothing.
 func New(cfg Config) *Importer {
-	return &Importer{cfg: cfg, rows: map[string]*wirepb.Row{}, invalid: map[string]uint64{}}
+	return &Importer{cfg: cfg, rows: map[string]*wirepb.Row{}, readAt: map[string]time.Time{}, invalid: map[string]uint64{}}
 }
 
 // Run imports until the context ends, while this node has a rank.
@@ -120,7 +122,7 @@
 func (i *Importer) applyPage(page *platform.Rows) {
 	for _, r := range page.Rows {
 		if r.GetVersion() > i.rows[r.GetKey()].GetVersion() {
-			i.rows[r.GetKey()] = r
+			i.rows[r.GetKey()], i.readAt[r.GetKey()] = r, i.cfg.Now()
 		}
 	}
 	i.cursor = max(i.cursor, page.Version)
@@ -156,6 +158,7 @@
 	if i.isProcessed(row) || ctx.Err() != nil {
 		return
 	}
+	started := i.cfg.Now()
 	build, err := i.buildFunc(row)
 	if err != nil {
 		i.markInvalid(row, err)
@@ -167,7 +170,8 @@
 	var invalidPath *tree.PathError
 	switch {
 	case err == nil:
-		i.cfg.Logger.Info("operator row committed", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Uint64("revision", revision))
+		i.cfg.Logger.Info("operator row committed", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Uint64("revision", revision),
+			zap.Duration("waited", started.Sub(i.readAt[row.GetKey()])), zap.Duration("committed_in", i.cfg.Now().Sub(started)))
 	case errors.As(err, &applied):
 	case platform.IsConfig(row) && (errors.As(err, &invalidValue) || errors.As(err, &invalidPath)):
 		i.markInvalid(row, err)
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -26,6 +26,8 @@
 	keepAliveIdleDuration = time.Second
 	keepAliveInterval     = 500 * time.Millisecond
 	keepAliveCount        = 2
+
+	operationFeed = "feed"
 )
 
 // Counters counts the operations of a Client.
@@ -42,6 +44,9 @@
 	Timeout time.Duration
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Observe receives the name, the duration and the error of each operation but the feed, which waits for changes; nil means
+	// that nothing does.
+	Observe func(operation string, took time.Duration, err error)
 }
 
 // Client is a client of the platform's table and object store; it is safe for concurrent use.
@@ -50,6 +55,7 @@
 
 	baseURL     string
 	timeout     time.Duration
+	observe     func(operation string, took time.Duration, err error)
 	http        *http.Client
 	unreachable atomic.Bool
 }
@@ -62,6 +68,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.Timeout, KeepAliveConfig: keepAliveConfig()}).DialContext
 	}
+	if cfg.Observe == nil {
+		cfg.Observe = func(string, time.Duration, error) {}
+	}
 	transport := &http.Transport{
 		DialContext:         cfg.Dial,
 		MaxIdleConnsPerHost: maxIdleConnections,
@@ -70,6 +79,7 @@
 	return &Client{
 		baseURL: "http://" + cfg.Address.String(),
 		timeout: cfg.Timeout,
+		observe: cfg.Observe,
 		http:    &http.Client{Transport: transport},
 	}
 }
@@ -150,7 +160,7 @@
 
 // Feed waits, for at most wait, for rows of a table that changed after a version; it returns *HistoryExpiredError or *UnavailableError.
 func (c *Client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (*platform.Rows, error) {
-	body, err := c.read(ctx, "feed", platform.FeedRequest(table, after, wait), wait+c.timeout)
+	body, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+c.timeout)
 	var status *StatusError
 	if errors.As(err, &status) && platform.IsHistoryExpired(status.Status) {
 		return nil, &HistoryExpiredError{Table: table, After: after}
@@ -160,7 +170,7 @@
 	}
 	rows, err := platform.DecodeRows(body)
 	if err != nil {
-		return nil, &UnavailableError{Operation: "feed", Cause: err}
+		return nil, &UnavailableError{Operation: operationFeed, Cause: err}
 	}
 	return rows, nil
 }
@@ -196,7 +206,7 @@
 
 func (c *Client) read(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) ([]byte, error) {
 	c.Counters.Reads.Add(1)
-	body, _, err := c.do(ctx, request, timeout)
+	body, _, err := c.do(ctx, operation, request, timeout)
 	if err != nil {
 		return nil, &UnavailableError{Operation: operation, Cause: err}
 	}
@@ -205,7 +215,7 @@
 
 func (c *Client) write(ctx context.Context, operation string, request platform.StoreRequest) error {
 	c.Counters.Writes.Add(1)
-	_, mayHaveRun, err := c.do(ctx, request, c.timeout)
+	_, mayHaveRun, err := c.do(ctx, operation, request, c.timeout)
 	switch {
 	case err == nil:
 		return nil
@@ -217,7 +227,7 @@
 }
 
 // do sends a request and returns the response body and, with an error, whether the platform may have carried it out.
-func (c *Client) do(ctx context.Context, request platform.StoreRequest, timeout time.Duration) ([]byte, bool, error) {
+func (c *Client) do(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) ([]byte, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, c.baseURL+request.Target, bytes.NewReader(request.Body))
@@ -225,8 +235,12 @@
 		return nil, false, errors.Wrap(err, "build platform request")
 	}
 	httpRequest.Header.Set("Content-Type", "application/json")
+	started := time.Now()
 	body, mayHaveRun, err := c.send(httpRequest)
 	c.recordResult(ctx, err)
+	if operation != operationFeed {
+		c.observe(operation, time.Since(started), err)
+	}
 	return body, mayHaveRun, err
 }
 
