Keep the rows of nodes that come and go out of the queue of configurations

What callers may see: a 404 for a route whose configuration was acknowledged, since that configuration is committed late.

Cause: all rows of the system were in the nameless part of the platform's table, which also holds the operator's rows. A part carries out 150 transactions a second, one after another, and refuses more than a second of them with 429. Each upstream that leaves and each node that stops writes one; when many do so at once, the operator's row and the commit of its configuration wait behind them or are refused. The users' record (0.58 s for an acknowledgement that takes 8 ms) fits such a queue; that it was this one is suspected, not shown.

Change: departures are spread over 256 parts by node, node rows have a part for each data centre. The log stays beside the operator's status rows, which are written in one transaction with it; leases stay, since nodes of earlier versions must find them, and their number does not grow with the nodes of a data centre. Departures that an earlier version wrote are not read any more; node rows are written again within 20 s.

--- a/internal/depart/ledger.go
+++ b/internal/depart/ledger.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -16,6 +17,9 @@
 
 const (
 	keyPrefix = "departure/"
+	// partCount is the number of parts of the platform's table over which the nodes are spread, so that many upstreams that leave at
+	// once do not wait for each other, and nothing else waits for them.
+	partCount = 256
 	// retention is how long departures are kept. Announcements that a broken link held up arrive within it.
 	retention = time.Hour
 	// recordTimeout bounds how long the acknowledgement of a departure waits for its row. The upstream expects it within a second.
@@ -28,6 +32,7 @@
 	maxLoadedDepartures = 500
 	deletePageSize      = 100
 	deletePageDelay     = time.Second
+	deletePartDelay     = 10 * time.Millisecond
 )
 
 // Config configures a Ledger.
@@ -69,8 +74,9 @@
 	}
 	// A row of its own for each departure: a write that the platform carries out late then replaces nothing newer.
 	put := &wirepb.Transaction{Puts: []*wirepb.Row{{Key: l.key(departure), Value: value}}}
+	part := l.cfg.Store.Part(partName(partOf(l.cfg.Node)))
 	for started := l.cfg.Now(); ; {
-		if _, err = l.cfg.Store.Transact(context.Background(), put); err == nil {
+		if _, err = part.Transact(context.Background(), put); err == nil {
 			return
 		}
 		if l.cfg.Now().Sub(started) >= retryTimeout {
@@ -85,7 +91,7 @@
 func (l *Ledger) Load() ([]*wirepb.Departure, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
-	rows, err := l.cfg.Store.Range(ctx, l.prefix(), "", maxLoadedDepartures)
+	rows, err := l.cfg.Store.Part(partName(partOf(l.cfg.Node))).Range(ctx, l.prefix(), "", maxLoadedDepartures)
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +107,11 @@
 	return departures, nil
 }
 
+// partOf returns the number of the part that holds the departures of a node.
+func partOf(node string) uint64 { return xxhash.Sum64String(node) % partCount }
+
+func partName(part uint64) string { return keyPrefix + strconv.FormatUint(part, 10) }
+
 func (l *Ledger) prefix() string { return keyPrefix + l.cfg.Node + "/" }
 
 // key returns the key of a departure's row. It contains a hash, since an id may be longer than a key.
@@ -112,14 +123,24 @@
 
 // DeleteExpired deletes the departures of all nodes that are older than the retention; it returns *store.UnavailableError.
 func (l *Ledger) DeleteExpired(ctx context.Context) error {
+	for n := range uint64(partCount) {
+		if err := l.deleteExpired(ctx, l.cfg.Store.Part(partName(n))); err != nil {
+			return err
+		}
+		sleep(ctx, deletePartDelay)
+	}
+	return ctx.Err()
+}
+
+func (l *Ledger) deleteExpired(ctx context.Context, part *store.Part) error {
 	after := ""
 	for ctx.Err() == nil {
-		rows, err := l.cfg.Store.Range(ctx, keyPrefix, after, deletePageSize)
+		rows, err := part.Range(ctx, keyPrefix, after, deletePageSize)
 		if err != nil {
 			return err
 		}
 		if expired := l.expiredKeys(rows); len(expired) > 0 {
-			if _, err := l.cfg.Store.Transact(ctx, &wirepb.Transaction{Deletes: expired}); err != nil {
+			if _, err := part.Transact(ctx, &wirepb.Transaction{Deletes: expired}); err != nil {
 				return err
 			}
 		}
--- a/internal/emul/platform.go
+++ b/internal/emul/platform.go
@@ -31,7 +31,10 @@
 	// WritesPerSecond and ReadsPerSecond limit the rates; operations above them fail with status 503; zero means no limit.
 	WritesPerSecond float64
 	ReadsPerSecond  float64
-	Seed            uint64
+	// PartTransactionsPerSecond is the rate at which each part carries out its transactions, one after another; when more than a second
+	// of them waits, further ones fail with status 429. Zero means no limit.
+	PartTransactionsPerSecond float64
+	Seed                      uint64
 }
 
 // Platform emulates the platform's transactional table and object store.
@@ -52,8 +55,17 @@
 
 	readLimit  *rate.Limiter
 	writeLimit *rate.Limiter
+
+	partsMu sync.Mutex
+	// partRate is the number of transactions a second of a part, or 0 for no limit; partFreeAt holds when each part will have carried
+	// out those that wait.
+	partRate   float64
+	partFreeAt map[string]time.Time
 }
 
+// maxPartQueue is the time that the transactions which wait for a part may take.
+const maxPartQueue = time.Second
+
 // NewPlatform returns an empty platform.
 func NewPlatform(cfg PlatformConfig) *Platform {
 	return &Platform{
@@ -63,9 +75,33 @@
 		random:     rand.New(rand.NewPCG(cfg.Seed, 0)),
 		readLimit:  newLimiter(cfg.ReadsPerSecond),
 		writeLimit: newLimiter(cfg.WritesPerSecond),
+		partRate:   cfg.PartTransactionsPerSecond,
+		partFreeAt: map[string]time.Time{},
 	}
 }
 
+// admitTransaction waits for the turn of a transaction on a part, or returns false if too many wait.
+func (p *Platform) admitTransaction(part string) bool {
+	if p.partRate == 0 {
+		return true
+	}
+	p.partsMu.Lock()
+	now := time.Now()
+	start := p.partFreeAt[part]
+	if start.Before(now) {
+		start = now
+	}
+	if start.Sub(now) > maxPartQueue {
+		p.partsMu.Unlock()
+		return false
+	}
+	done := start.Add(time.Duration(float64(time.Second) / p.partRate))
+	p.partFreeAt[part] = done
+	p.partsMu.Unlock()
+	time.Sleep(done.Sub(now))
+	return true
+}
+
 func newLimiter(perSecond float64) *rate.Limiter {
 	if perSecond == 0 {
 		return rate.NewLimiter(rate.Inf, 0)
@@ -91,7 +127,7 @@
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
 	platform.RegisterStore(r, platform.StoreBackend{
-		Transact: p.transact, Rows: p.findRows, Feed: p.feed,
+		Admit: p.admitTransaction, Transact: p.transact, Rows: p.findRows, Feed: p.feed,
 		PutObject: p.putObject, Object: p.getObject, DeleteObject: p.deleteObject,
 		InjectReadFaults: p.injectReadFaults, InjectWriteFaults: p.injectWriteFaults,
 	})
@@ -144,15 +180,16 @@
 // rowKey identifies a row among all tables.
 type rowKey struct {
 	table string
+	part  string
 	key   string
 }
 
-// transact applies a transaction and reports whether its conditions held.
-func (p *Platform) transact(transaction *wirepb.Transaction) bool {
+// transact applies a transaction on a part and reports whether its conditions held.
+func (p *Platform) transact(part string, transaction *wirepb.Transaction) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range transaction.GetConditions() {
-		row, found := p.rows[rowKey{key: c.GetKey()}]
+		row, found := p.rows[rowKey{part: part, key: c.GetKey()}]
 		current := uint64(0)
 		if found && !row.GetDeleted() {
 			current = row.GetVersion()
@@ -163,12 +200,12 @@
 	}
 	p.version++
 	for _, row := range transaction.GetPuts() {
-		p.rows[rowKey{table: row.GetTable(), key: row.GetKey()}] = &wirepb.Row{
+		p.rows[rowKey{table: row.GetTable(), part: part, key: row.GetKey()}] = &wirepb.Row{
 			Table: row.GetTable(), Key: row.GetKey(), Value: row.GetValue(), Version: p.version,
 		}
 	}
 	for _, key := range transaction.GetDeletes() {
-		p.rows[rowKey{key: key}] = &wirepb.Row{Key: key, Version: p.version, Deleted: true}
+		p.rows[rowKey{part: part, key: key}] = &wirepb.Row{Key: key, Version: p.version, Deleted: true}
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -177,14 +214,26 @@
 
 // PutRow writes one row of any table without conditions, as an operator does.
 func (p *Platform) PutRow(table, key string, value []byte) {
-	p.transact(&wirepb.Transaction{Puts: []*wirepb.Row{{Table: table, Key: key, Value: value}}})
+	p.transact("", &wirepb.Transaction{Puts: []*wirepb.Row{{Table: table, Key: key, Value: value}}})
+}
+
+// PutSystemRow writes one row of a part of the system's table.
+func (p *Platform) PutSystemRow(part, key string, value []byte) {
+	p.transact(part, &wirepb.Transaction{Puts: []*wirepb.Row{{Key: key, Value: value}}})
 }
 
 // Row returns one row of any table, or nil if there is none.
-func (p *Platform) Row(table, key string) *wirepb.Row {
+func (p *Platform) Row(table, key string) *wirepb.Row { return p.row(rowKey{table: table, key: key}) }
+
+// SystemRow returns one row of a part of the system's table, or nil if there is none.
+func (p *Platform) SystemRow(part, key string) *wirepb.Row {
+	return p.row(rowKey{part: part, key: key})
+}
+
+func (p *Platform) row(name rowKey) *wirepb.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	row := p.rows[rowKey{table: table, key: key}]
+	row := p.rows[name]
 	if row.GetDeleted() {
 		return nil
 	}
@@ -200,11 +249,11 @@
 	p.changed = make(chan struct{})
 }
 
-func (p *Platform) findRows(table, from, to string, limit int) platform.Rows {
+func (p *Platform) findRows(table, part, from, to string, limit int) platform.Rows {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	rows := p.sortedRows(func(name rowKey, row *wirepb.Row) bool {
-		return name.table == table && !row.GetDeleted() && name.key >= from && (to == "" || name.key < to)
+		return name.table == table && name.part == part && !row.GetDeleted() && name.key >= from && (to == "" || name.key < to)
 	}, func(a, b *wirepb.Row) bool { return a.GetKey() < b.GetKey() })
 	size := min(len(rows), limit)
 	return platform.Rows{Rows: rows[:size], Version: p.version, More: size < len(rows)}
--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -30,6 +31,9 @@
 	inviteDuration = time.Minute
 )
 
+// nodeRowPart returns the part of the platform's table that holds the rows of the data centre's nodes.
+func (h *Hub) nodeRowPart() *store.Part { return h.cfg.Store.Part(nodeKeyPrefix + h.cfg.DataCentre) }
+
 func (h *Hub) nodeRowPrefix() string { return nodeKeyPrefix + h.cfg.DataCentre + "/" }
 
 func (h *Hub) nodeRowKey() string { return h.nodeRowPrefix() + h.cfg.Node }
@@ -48,7 +52,7 @@
 	for len(missing) > 0 {
 		part := missing[:min(len(missing), maxRowWrites)]
 		missing = missing[len(part):]
-		if _, err := h.cfg.Store.Transact(ctx, &wirepb.Transaction{Puts: part}); err != nil {
+		if _, err := h.nodeRowPart().Transact(ctx, &wirepb.Transaction{Puts: part}); err != nil {
 			h.cfg.Logger.Info("could not write node rows", zap.Int("rows", len(part)), zap.Error(err))
 			return
 		}
@@ -100,7 +104,7 @@
 
 // readNodeRows reads the rows of the data centre's nodes and reports whether it could.
 func (h *Hub) readNodeRows(ctx context.Context) bool {
-	rows, err := h.cfg.Store.Range(ctx, h.nodeRowPrefix(), "", maxNodeRows)
+	rows, err := h.nodeRowPart().Range(ctx, h.nodeRowPrefix(), "", maxNodeRows)
 	if err != nil {
 		return false
 	}
--- a/internal/relay/invite_test.go
+++ b/internal/relay/invite_test.go
@@ -93,7 +93,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	row := marshal(t, &wirepb.NodeRow{Node: "away", PeerAddress: listener.Addr().String()})
-	platform.PutRow("", "node/dc/away", row)
+	platform.PutSystemRow("node/dc", "node/dc/away", row)
 	relay := startNode(t, "relay", address)
 	away := startNodeOn(t, "away", closedAddress(t), listener)
 	require.Eventually(t, func() bool { return away.Joined() && relay.LinkCount() == 1 }, recoveryTimeout, pollInterval)
@@ -166,7 +166,7 @@
 	}
 	require.Eventually(t, func() bool {
 		for _, h := range hubs {
-			if !h.Joined() || platform.Row("", "node/dc/"+h.cfg.Node) == nil {
+			if !h.Joined() || platform.SystemRow("node/dc", "node/dc/"+h.cfg.Node) == nil {
 				return false
 			}
 		}
@@ -180,9 +180,9 @@
 func TestLeaveDeletesRows(t *testing.T) {
 	platform, address := newPlatform(t)
 	h := startNode(t, "node", address)
-	require.Eventually(t, func() bool { return h.IsRelay() && platform.Row("", "node/dc/node") != nil }, waitTimeout, pollInterval)
+	require.Eventually(t, func() bool { return h.IsRelay() && platform.SystemRow("node/dc", "node/dc/node") != nil }, waitTimeout, pollInterval)
 	h.Leave(t.Context())
-	require.Nil(t, platform.Row("", "node/dc/node"))
+	require.Nil(t, platform.SystemRow("node/dc", "node/dc/node"))
 	require.Nil(t, platform.Row("", "relay/dc/0"))
 }
 
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -375,13 +375,21 @@
 	})
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	transaction := &wirepb.Transaction{Deletes: []string{h.nodeRowKey()}}
+	var leaseDeleted sync.WaitGroup
+	defer leaseDeleted.Wait()
 	if held := h.ownLease(); held != nil && h.IsRelay() {
-		transaction.Conditions = []*wirepb.Condition{{Key: held.key, Version: held.version}}
-		transaction.Deletes = append(transaction.Deletes, held.key)
+		leaseDeleted.Go(func() { h.deleteLease(ctx, held) })
 	}
-	_, err := h.cfg.Store.Transact(ctx, transaction)
+	if _, err := h.nodeRowPart().Transact(ctx, &wirepb.Transaction{Deletes: []string{h.nodeRowKey()}}); err != nil {
+		h.cfg.Logger.Info("could not delete node row from the platform", zap.Error(err))
+	}
+}
+
+func (h *Hub) deleteLease(ctx context.Context, held *observedLease) {
+	_, err := h.cfg.Store.Transact(ctx, &wirepb.Transaction{
+		Conditions: []*wirepb.Condition{{Key: held.key, Version: held.version}}, Deletes: []string{held.key},
+	})
 	if err != nil {
-		h.cfg.Logger.Info("could not delete node row and relay lease from the platform", zap.Error(err))
+		h.cfg.Logger.Info("could not delete relay lease from the platform", zap.Error(err))
 	}
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// Part is a part of the system's table. The platform carries out the transactions on one part one after another, so that those on
+// different parts do not wait for each other; a transaction cannot span parts.
+type Part struct {
+	client *Client
+	name   string
+}
+
+// Part returns the part with a name.
+func (c *Client) Part(name string) *Part { return &Part{client: c, name: name} }
+
 // keepAliveConfig makes TCP detect dead connections, since a feed may wait for seconds without a response.
 func keepAliveConfig() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdleDuration, Interval: keepAliveInterval, Count: keepAliveCount}
@@ -96,13 +106,18 @@
 // cancelled operations do not count.
 func (c *Client) IsReachable() bool { return !c.unreachable.Load() }
 
-// Transact writes all rows or none and reports whether the conditions held; it returns *UnavailableError or *UnknownOutcomeError.
+// Transact is Transact of the part without a name.
 func (c *Client) Transact(ctx context.Context, transaction *wirepb.Transaction) (bool, error) {
-	request, err := platform.TransactionRequest(transaction)
+	return c.Part("").Transact(ctx, transaction)
+}
+
+// Transact writes all rows or none and reports whether the conditions held; it returns *UnavailableError or *UnknownOutcomeError.
+func (p *Part) Transact(ctx context.Context, transaction *wirepb.Transaction) (bool, error) {
+	request, err := platform.TransactionRequest(p.name, transaction)
 	if err != nil {
 		return false, errors.Wrap(err, "encode transaction")
 	}
-	err = c.write(ctx, "transaction", request)
+	err = p.client.write(ctx, "transaction", request)
 	var status *StatusError
 	if errors.As(err, &status) {
 		if committed, known := platform.Committed(status.Status); known {
@@ -112,13 +127,18 @@
 	return err == nil, err
 }
 
-// Range reads at most limit rows of the system's table whose keys have the prefix and follow after; it returns *UnavailableError.
+// Range is Range of the part without a name.
 func (c *Client) Range(ctx context.Context, prefix, after string, limit int) ([]*wirepb.Row, error) {
+	return c.Part("").Range(ctx, prefix, after, limit)
+}
+
+// Range reads at most limit rows of the part whose keys have the prefix and follow after; it returns *UnavailableError.
+func (p *Part) Range(ctx context.Context, prefix, after string, limit int) ([]*wirepb.Row, error) {
 	var found []*wirepb.Row
 	from := max(prefix, after)
 	for {
 		// A range includes its first key, so a page needs room for one row that was read before.
-		page, err := c.TablePage(ctx, "", from, prefixEnd(prefix), min(limit-len(found)+1, platform.MaxPageRows))
+		page, err := p.client.page(ctx, platform.RangeRequest("", p.name, from, prefixEnd(prefix), min(limit-len(found)+1, platform.MaxPageRows)))
 		if err != nil {
 			return nil, err
 		}
@@ -147,7 +167,11 @@
 
 // TablePage reads at most limit rows of a table whose keys lie in [from, to); it returns *UnavailableError.
 func (c *Client) TablePage(ctx context.Context, table, from, to string, limit int) (*platform.Rows, error) {
-	body, err := c.read(ctx, "range", platform.RangeRequest(table, from, to, limit), c.timeout)
+	return c.page(ctx, platform.RangeRequest(table, "", from, to, limit))
+}
+
+func (c *Client) page(ctx context.Context, request platform.StoreRequest) (*platform.Rows, error) {
+	body, err := c.read(ctx, "range", request, c.timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -175,9 +199,14 @@
 	return rows, nil
 }
 
-// Row reads one row of the system's table, or nil if it does not exist; it returns *UnavailableError.
+// Row is Row of the part without a name.
 func (c *Client) Row(ctx context.Context, key string) (*wirepb.Row, error) {
-	rows, err := c.Range(ctx, key, "", 1)
+	return c.Part("").Row(ctx, key)
+}
+
+// Row reads one row of the part, or nil if it does not exist; it returns *UnavailableError.
+func (p *Part) Row(ctx context.Context, key string) (*wirepb.Row, error) {
+	rows, err := p.Range(ctx, key, "", 1)
 	if err != nil || len(rows) == 0 || rows[0].GetKey() != key {
 		return nil, err
 	}
