Compile the entries that a change sets, not all of its team

What callers may see: a 404 for an added route, from a node with little processor time that falls behind in a series of configurations.

Cause: each change decoded and compiled all entries of the team it belongs to. All of the operator's routes are in one team: 600 routes took 9.0 ms of processor time a change and node, 2,000 routes 27 ms, on a node of 0.16 of a core six times as long. A series of changes 0.18 s apart then takes a node's whole share.

Change: a builder keeps the decoded values of the entries that change and compiles these; routes that stay are linked anew only if services or moves changed. Prefixes are compared between teams only if two of them have routes.

TestApplyEqualsFullCompilation, which compares with a full compilation, passes.

--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -6,13 +6,14 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
-// builder builds a state from another one. It copies the subtrees that it changes and compiles only those.
+// builder builds a state from another one. It copies the subtrees that it changes and compiles only the entries that changed, and those
+// that refer to them.
 type builder struct {
 	next *State
 	// copied holds the teams whose subtrees the builder has copied.
 	copied map[string]bool
-	// changedTeams holds the teams whose subtrees changed since the last compilation.
-	changedTeams map[string]bool
+	// changed holds the entries that changed since the last compilation, by team and path; those that were removed have no message.
+	changed map[string]map[string]decodedEntry
 	// prefixAdded says that a team got a path prefix that it did not have.
 	prefixAdded bool
 }
@@ -23,13 +24,16 @@
 			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, entryCount: s.entryCount, Services: maps.Clone(s.Services),
 			MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
 		},
-		copied: map[string]bool{}, changedTeams: map[string]bool{},
+		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
 	}
 }
 
-// mutableSubtree returns a copy of a team's subtree to change.
-func (b *builder) mutableSubtree(team string) *subtree {
-	b.changedTeams[team] = true
+// changeEntry returns a copy of a team's subtree in which an entry is to be changed, and records the entry as it will be.
+func (b *builder) changeEntry(team string, entry decodedEntry) *subtree {
+	if b.changed[team] == nil {
+		b.changed[team] = map[string]decodedEntry{}
+	}
+	b.changed[team][entry.pathText] = entry
 	if !b.copied[team] {
 		b.copied[team] = true
 		b.next.subtrees[team] = b.next.subtrees[team].clone()
@@ -64,41 +68,39 @@
 	if path.Kind == KindMoveRecord {
 		b.removeMoveRecord(path, pathText)
 	} else {
-		b.removeEntry(path.Team, pathText)
+		b.removeEntry(path.Team, path, pathText)
 	}
 	return nil
 }
 
 // removeMoveRecord removes a move's record from its service's team and from the teams where the same change may have put it.
 func (b *builder) removeMoveRecord(path Path, pathText string) {
-	b.removeEntry(b.next.owningTeam(path), pathText)
-	for team := range b.changedTeams {
-		b.removeEntry(team, pathText)
+	b.removeEntry(b.next.owningTeam(path), path, pathText)
+	for team := range b.changed {
+		b.removeEntry(team, path, pathText)
 	}
 }
 
-func (b *builder) removeEntry(team, pathText string) {
-	if _, found := b.next.subtrees[team]; !found {
+func (b *builder) removeEntry(team string, path Path, pathText string) {
+	t, found := b.next.subtrees[team]
+	if !found || t.entries[pathText] == nil {
 		return
 	}
-	t := b.mutableSubtree(team)
-	if _, found := t.entries[pathText]; found {
-		delete(t.entries, pathText)
-		b.next.entryCount--
-	}
+	delete(b.changeEntry(team, decodedEntry{pathText: pathText, path: path}).entries, pathText)
+	b.next.entryCount--
 }
 
 func (b *builder) putEntry(entry *wirepb.Entry) error {
-	path, value, err := Decode(entry.GetPath(), entry.GetValue())
+	path, message, err := Decode(entry.GetPath(), entry.GetValue())
 	if err != nil {
 		return err
 	}
 	team := path.Team
-	if record, ok := value.(*wirepb.MoveRecord); ok {
+	if record, ok := message.(*wirepb.MoveRecord); ok {
 		team = record.GetTeam()
 		b.removeMoveRecord(path, entry.GetPath())
 	}
-	t := b.mutableSubtree(team)
+	t := b.changeEntry(team, decodedEntry{pathText: entry.GetPath(), path: path, message: message})
 	if _, found := t.entries[entry.GetPath()]; !found {
 		b.next.entryCount++
 	}
@@ -109,18 +111,18 @@
 	return nil
 }
 
-// compile replaces the services, routes and limits of the changed subtrees in the state.
+// compile replaces what was compiled from the changed entries in the state.
 func (b *builder) compile() error {
 	previousTeams := map[string]string{}
-	for team := range b.changedTeams {
-		b.removeCompiled(b.next.subtrees[team], previousTeams)
+	for team, entries := range b.changed {
+		b.removeCompiled(b.next.subtrees[team], entries, previousTeams)
 	}
-	for team := range b.changedTeams {
-		if err := b.compileTeam(team, previousTeams); err != nil {
+	for team, entries := range b.changed {
+		if err := b.compileTeam(team, entries, previousTeams); err != nil {
 			return err
 		}
 	}
-	clear(b.changedTeams)
+	clear(b.changed)
 	if !b.prefixAdded {
 		return nil
 	}
@@ -128,18 +130,30 @@
 	return b.next.checkPrefixConflicts()
 }
 
-// removeCompiled removes a subtree's services and routes from the state and records the team of each route in previousTeams.
-func (b *builder) removeCompiled(t *subtree, previousTeams map[string]string) {
-	for _, service := range t.services {
-		delete(b.next.Services, service.Name)
+// removeCompiled removes from the state what compileTeam will replace, and records the team of each removed route in previousTeams.
+func (b *builder) removeCompiled(t *subtree, entries map[string]decodedEntry, previousTeams map[string]string) {
+	if changesServices(entries) {
+		for name := range t.services {
+			delete(b.next.Services, name)
+		}
+		for _, r := range t.routes {
+			b.removeRoute(r, previousTeams)
+		}
 	}
-	for _, r := range t.routes {
-		delete(b.next.routesByMatchKey, r.matchKey())
-		previousTeams[r.matchKey()] = r.Team
+	for pathText := range entries {
+		if r, found := t.routes[pathText]; found {
+			b.removeRoute(r, previousTeams)
+			delete(t.routes, pathText)
+		}
 	}
 }
 
-func (b *builder) compileTeam(team string, previousTeams map[string]string) error {
+func (b *builder) removeRoute(r *Route, previousTeams map[string]string) {
+	delete(b.next.routesByMatchKey, r.matchKey())
+	previousTeams[r.matchKey()] = r.Team
+}
+
+func (b *builder) compileTeam(team string, entries map[string]decodedEntry, previousTeams map[string]string) error {
 	t := b.next.subtrees[team]
 	if team == systemTeam {
 		return b.compileLimits(t)
@@ -149,19 +163,16 @@
 		delete(b.copied, team)
 		return nil
 	}
-	if err := t.compile(team); err != nil {
+	added, err := t.compile(team, entries)
+	if err != nil {
 		return err
 	}
-	for _, service := range t.services {
-		if other, found := b.next.Services[service.Name]; found {
-			return &ValueError{
-				Path: "/teams/" + team + "/services/" + service.Name, Field: "name", Value: service.Name,
-				Allowed: "a name that team " + other.Team + " does not use",
-			}
+	if changesServices(entries) {
+		if err := b.addServices(team, t.services); err != nil {
+			return err
 		}
-		b.next.Services[service.Name] = service
 	}
-	for _, r := range t.routes {
+	for _, r := range added {
 		if other, found := b.next.routesByMatchKey[r.matchKey()]; found {
 			return prefixConflict(r, other)
 		}
@@ -171,8 +182,21 @@
 	return nil
 }
 
+func (b *builder) addServices(team string, services map[string]*Service) error {
+	for name, service := range services {
+		if other, found := b.next.Services[name]; found {
+			return &ValueError{
+				Path: "/teams/" + team + "/services/" + name, Field: "name", Value: name,
+				Allowed: "a name that team " + other.Team + " does not use",
+			}
+		}
+		b.next.Services[name] = service
+	}
+	return nil
+}
+
 func (b *builder) compileLimits(t *subtree) error {
-	values, err := t.decodeEntries()
+	values, err := t.decodeExceptRoutes(nil)
 	if err != nil {
 		return err
 	}
@@ -190,6 +214,9 @@
 
 // checkPrefixConflicts returns an error for a path prefix under one of another team on the same host.
 func (s *State) checkPrefixConflicts() error {
+	if s.teamsWithRoutes() < 2 {
+		return nil
+	}
 	for _, r := range s.routesByMatchKey {
 		for i := len(r.PathPrefix) - 1; i > 0; i-- {
 			other, found := s.routesByMatchKey[r.Host+r.PathPrefix[:i]]
@@ -201,6 +228,16 @@
 	return nil
 }
 
+func (s *State) teamsWithRoutes() int {
+	count := 0
+	for _, t := range s.subtrees {
+		if len(t.routes) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 func prefixConflict(route, other *Route) error {
 	return &ValueError{
 		Path: "/teams/" + route.Team + "/routes/" + route.Name, Field: "path_prefix", Value: route.PathPrefix,
--- a/internal/tree/subtree.go
+++ b/internal/tree/subtree.go
@@ -17,39 +17,81 @@
 // subtree holds the entries that one team declared and the records of its moves; it is immutable once compiled.
 type subtree struct {
 	entries  map[string]*wirepb.Entry
-	services []*Service
-	routes   []*Route
-	tokens   []string
+	services map[string]*Service
+	// routes holds the routes by the paths of their entries.
+	routes map[string]*Route
+	tokens []string
 }
 
+// decodedEntry is an entry with its decoded value; the message is nil if the entry was removed.
 type decodedEntry struct {
 	pathText string
 	path     Path
 	message  proto.Message
 }
 
+// changesServices reports whether any of the entries is not a route: those determine the services to which all routes refer.
+func changesServices(entries map[string]decodedEntry) bool {
+	for _, e := range entries {
+		if e.path.Kind != KindRoute {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *subtree) clone() *subtree {
 	if t == nil {
-		return &subtree{entries: map[string]*wirepb.Entry{}}
+		return &subtree{entries: map[string]*wirepb.Entry{}, routes: map[string]*Route{}}
 	}
-	return &subtree{entries: maps.Clone(t.entries), services: t.services, routes: t.routes, tokens: t.tokens}
+	return &subtree{entries: maps.Clone(t.entries), services: t.services, routes: maps.Clone(t.routes), tokens: t.tokens}
 }
 
-// compile builds services and routes from the entries and checks that all references lead to services of the same team.
-func (t *subtree) compile(team string) error {
-	values, err := t.decodeEntries()
-	if err != nil {
-		return err
+// compile builds what the changed entries determine, checks that all references lead to services of the same team, and returns the
+// routes that were built.
+func (t *subtree) compile(team string, changed map[string]decodedEntry) ([]*Route, error) {
+	var added []*Route
+	if changesServices(changed) {
+		values, err := t.decodeExceptRoutes(changed)
+		if err != nil {
+			return nil, err
+		}
+		if err := t.compileServices(team, values); err != nil {
+			return nil, err
+		}
+		if added, err = t.relinkRoutes(team); err != nil {
+			return nil, err
+		}
 	}
-	t.tokens = nil
-	services := t.compileServices(values)
-	return t.compileRoutes(team, values, services)
+	for pathText, e := range changed {
+		setting, isRoute := e.message.(*wirepb.RouteSetting)
+		if !isRoute {
+			continue
+		}
+		for _, name := range serviceNames(setting) {
+			if t.services[name] == nil {
+				return nil, unknownServiceError(team, pathText, name)
+			}
+		}
+		r := newRoute(e.path, setting, t.services)
+		t.routes[pathText] = r
+		added = append(added, r)
+	}
+	return added, nil
 }
 
-// decodeEntries decodes all entries. Decoded messages are not kept, since their memory costs more than decoding them again.
-func (t *subtree) decodeEntries() ([]decodedEntry, error) {
-	values := make([]decodedEntry, 0, len(t.entries))
+// decodeExceptRoutes decodes all entries but the routes, unless they are among those that have been decoded. Messages are not kept,
+// since their memory costs more than decoding them again.
+func (t *subtree) decodeExceptRoutes(decoded map[string]decodedEntry) ([]decodedEntry, error) {
+	var values []decodedEntry
 	for pathText, entry := range t.entries {
+		if e, found := decoded[pathText]; found {
+			values = append(values, e)
+			continue
+		}
+		if t.routes[pathText] != nil {
+			continue
+		}
 		path, message, err := Decode(pathText, entry.GetValue())
 		if err != nil {
 			return nil, err
@@ -59,29 +101,64 @@
 	return values, nil
 }
 
-func (t *subtree) compileServices(values []decodedEntry) map[string]*Service {
-	services := map[string]*Service{}
-	t.services = nil
+func (t *subtree) compileServices(team string, values []decodedEntry) error {
+	t.services, t.tokens = map[string]*Service{}, nil
 	for _, e := range values {
 		switch v := e.message.(type) {
 		case *wirepb.AccessSetting:
 			t.tokens = v.GetTokenSha256()
 		case *wirepb.ServiceSetting:
-			service := &Service{
+			t.services[e.path.Name] = &Service{
 				Name: e.path.Name, Team: e.path.Team, StableVersion: v.GetVersion(), AnyVersion: v.GetVersion() == "",
 				ColdStart: durationOr(v.GetColdStart(), undeclaredColdStart),
 			}
-			services[service.Name] = service
-			t.services = append(t.services, service)
 		}
 	}
 	for _, e := range values {
-		record, ok := e.message.(*wirepb.MoveRecord)
-		if service, found := services[e.path.Name]; ok && found {
-			service.MoveRecord, service.StableVersion = record, StableVersion(record)
+		service := t.services[e.path.Name]
+		switch v := e.message.(type) {
+		case *wirepb.MoveSetting:
+			if service == nil {
+				return unknownServiceError(team, e.pathText, e.path.Name)
+			}
+		case *wirepb.MoveRecord:
+			if service == nil {
+				return unknownServiceError(team, e.pathText, e.path.Name)
+			}
+			service.MoveRecord, service.StableVersion = v, StableVersion(v)
+		}
+	}
+	return nil
+}
+
+// relinkRoutes replaces the routes by copies that refer to the services as they are now, and returns them.
+func (t *subtree) relinkRoutes(team string) ([]*Route, error) {
+	relinked := make([]*Route, 0, len(t.routes))
+	for pathText, r := range t.routes {
+		next := *r
+		next.Service = t.services[r.Service.Name]
+		if next.Service == nil {
+			return nil, unknownServiceError(team, pathText, r.Service.Name)
 		}
+		next.Split = nil
+		for _, p := range r.Split {
+			service := t.services[p.Service.Name]
+			if service == nil {
+				return nil, unknownServiceError(team, pathText, p.Service.Name)
+			}
+			next.Split = append(next.Split, WeightedService{Service: service, Weight: p.Weight})
+		}
+		t.routes[pathText] = &next
+		relinked = append(relinked, &next)
+	}
+	return relinked, nil
+}
+
+func unknownServiceError(team, pathText, name string) *ValueError {
+	return &ValueError{
+		Path: pathText, Field: "service", Value: name,
+		Allowed: "a service of team " + team + "; set /teams/" + team + "/services/" + name + " first or in the same change",
 	}
-	return services
 }
 
 // StableVersion returns the version that takes the calls outside a move's share.
@@ -92,30 +169,6 @@
 	return record.GetFrom()
 }
 
-func (t *subtree) compileRoutes(team string, values []decodedEntry, services map[string]*Service) error {
-	t.routes = nil
-	for _, e := range values {
-		names := []string{e.path.Name}
-		switch v := e.message.(type) {
-		case *wirepb.RouteSetting:
-			names = serviceNames(v)
-			t.routes = append(t.routes, newRoute(e.path, v, services))
-		case *wirepb.MoveSetting, *wirepb.MoveRecord:
-		default:
-			continue
-		}
-		for _, name := range names {
-			if services[name] == nil {
-				return &ValueError{
-					Path: e.pathText, Field: "service", Value: name,
-					Allowed: "a service of team " + team + "; set /teams/" + team + "/services/" + name + " first or in the same change",
-				}
-			}
-		}
-	}
-	return nil
-}
-
 func serviceNames(setting *wirepb.RouteSetting) []string {
 	if len(setting.GetSplit()) == 0 {
 		return []string{setting.GetService()}
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -236,7 +236,7 @@
 	})
 }
 
-// A change compiles only the subtrees that it changes. The state must equal the one that FromSnapshot compiles from the whole
+// A change compiles only what it changes. The state must equal the one that FromSnapshot compiles from the whole
 // tree, and a change must fail in both or in neither.
 func TestApplyEqualsFullCompilation(t *testing.T) {
 	draw := func(r *rapid.T) *wirepb.Put {
