Decode the entries of a configuration that differ from the last one

Cause: a relay decoded all entries of each of the operator's configurations, which repeat nearly all of the previous one; on a node with little processor time the commit is late by that, other relays begin the same work while they wait, and the nodes below get nothing from a relay that is busy.

Change: the importer keeps the decoded entries of the last configuration by their encoded form.

TestConfigDecoderDecodesChangedEntriesOnly compares with a fresh decoder and bounds the allocations by half of a first decoding.

--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -57,6 +57,7 @@
 	readAt map[string]time.Time
 	// invalid holds the latest invalid version of a row, by its key.
 	invalid map[string]uint64
+	decoder platform.ConfigDecoder
 }
 
 // New returns an importer that has read nothing.
@@ -208,7 +209,7 @@
 
 func (i *Importer) buildFunc(row *wirepb.Row) (oplog.BuildFunc, error) {
 	if platform.IsConfig(row) {
-		config, err := platform.DecodeConfig(row)
+		config, err := i.decoder.Decode(row)
 		if err != nil {
 			return nil, err
 		}
