Tell children at once when the way to the relays is lost

Cause: a node told its children its distance to a relay with its beats, once a second. After the loss of both relays of a data centre, nodes took each other for a way to one until the distance had been counted up past the maximum, a beat at each hop. They were linked meanwhile, so that they did not read the platform. A node that did find itself without a parent waited up to 0.6 s more for its next poll.

Change: a change of the distance is told at once; a node that loses its last parent reads the platform at once, and while it can read it counts as one hop from a relay, so that not all nodes below it need to. Tried without the last part: correct, but nodes left and found each other all the time, and the test took ten times as long.

TestLossOfThePathIsPassedOnAtOnce, TestNodeWithoutParentsPollsAtOnce and TestNodeThatReadsThePlatformKeepsItsChildren failed before.

That the users' 404 had this cause is suspected: no log of it exists.

--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -156,6 +156,7 @@
 		return
 	}
 	h.publishParents()
+	h.announceDepth()
 	l.run(ctx, cursor, buckets)
 	h.removeLink(l)
 	h.backOff(address)
@@ -172,7 +173,7 @@
 	if err != nil {
 		return nil, cursor{}, nil, err
 	}
-	l := &link{hub: h, conn: stream, reader: bufio.NewReader(stream), address: address.String(), dialled: true}
+	l := &link{hub: h, conn: stream, reader: bufio.NewReader(stream), address: address.String(), dialled: true, wake: make(chan struct{}, 1)}
 	from := l.initCursor(0)
 	hello := &wirepb.LinkHello{
 		Node: h.cfg.Node, DataCentre: h.cfg.DataCentre, Revision: h.cfg.Log.State().Revision,
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -36,6 +36,10 @@
 	handshakesPerSecond = 50
 	handshakeBurst      = 64
 	redirectRetryDelay  = time.Second
+	// firstReadTimeout is how long a node that has lost its parents may take to read the platform before its children leave it.
+	firstReadTimeout = 300 * time.Millisecond
+	// rootTimeout covers two polls of a node without a parent.
+	rootTimeout = 3 * isolatedPollInterval
 )
 
 // Config configures a Hub.
@@ -96,7 +100,11 @@
 	isolatedSince time.Time
 	// linkedBefore means that this node has had a link.
 	linkedBefore bool
-	wait         sync.WaitGroup
+	// actsAsRootUntil is until when this node, without a parent, counts as having a way to the changes since it reads the platform.
+	actsAsRootUntil time.Time
+	// announcedDepth is the depth of which the children were told last.
+	announcedDepth int
+	wait           sync.WaitGroup
 }
 
 // New returns a hub without links.
@@ -126,7 +134,7 @@
 
 // ServeLink accepts or redirects a link that another node dialled, and serves it until it ends.
 func (h *Hub) ServeLink(ctx context.Context, conn net.Conn, reader *bufio.Reader, hello *wirepb.LinkHello) {
-	l := &link{hub: h, conn: conn, reader: reader, node: hello.GetNode(), address: hello.GetPeerAddress(), dialled: false, betweenRelays: hello.GetRelay(), packedChanges: hello.GetPackedChanges()}
+	l := &link{hub: h, conn: conn, reader: reader, node: hello.GetNode(), address: hello.GetPeerAddress(), dialled: false, betweenRelays: hello.GetRelay(), packedChanges: hello.GetPackedChanges(), wake: make(chan struct{}, 1)}
 	l.wan = l.betweenRelays && hello.GetDataCentre() != h.cfg.DataCentre
 	if hello.GetNode() == h.cfg.Node || !h.admit(l) {
 		_ = frame.Write(conn, h.redirectFrame(hello.GetNode()))
@@ -216,13 +224,49 @@
 	return true
 }
 
+// removeLink removes a link. A node that has lost its last parent may have missed changes and reads the platform at once.
 func (h *Hub) removeLink(l *link) {
 	h.mu.Lock()
+	isolated := false
 	if h.links[l.node] == l {
 		delete(h.links, l.node)
+		isolated = l.dialled && !h.relay && !h.hasParent()
+	}
+	if isolated {
+		h.actsAsRootUntil = h.cfg.Now().Add(firstReadTimeout)
+		time.AfterFunc(firstReadTimeout, h.announceDepth)
 	}
 	h.mu.Unlock()
 	l.close()
+	h.announceDepth()
+	if isolated {
+		h.requestPoll()
+	}
+}
+
+// actAsRoot records that this node has read the changes from the platform.
+func (h *Hub) actAsRoot() {
+	h.mu.Lock()
+	h.actsAsRootUntil = h.cfg.Now().Add(rootTimeout)
+	h.mu.Unlock()
+	h.announceDepth()
+}
+
+func (h *Hub) hasParent() bool {
+	for _, l := range h.links {
+		if l.dialled {
+			return true
+		}
+	}
+	return false
+}
+
+// requestPoll starts the next poll of the platform at once.
+func (h *Hub) requestPoll() {
+	select {
+	case h.pollNow <- struct{}{}:
+	default:
+	}
 }
 
 // IsRelay reports whether this node is a relay of its data centre.
@@ -239,7 +283,8 @@
 	return len(h.links) > 0 || h.relay && len(h.leases) == 1
 }
 
-// Depth returns the number of hops from this node to a relay, or more than maxDepth if there is no path.
+// Depth returns the number of hops from this node to a relay, or more than maxDepth if there is no path. A node without a parent that reads
+// the platform itself counts as one hop away, so that those below it need not do the same.
 func (h *Hub) Depth() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -247,6 +292,9 @@
 		return 0
 	}
 	depth := unreachableDepth
+	if h.cfg.Now().Before(h.actsAsRootUntil) && !h.hasParent() {
+		return 1
+	}
 	for _, l := range h.links {
 		if l.dialled {
 			depth = min(depth, int(l.depth.Load())+1)
@@ -255,6 +303,26 @@
 	return depth
 }
 
+// HasPath reports whether changes reach this node, by links from a relay or because it reads the platform itself.
+func (h *Hub) HasPath() bool { return h.Depth() <= maxDepth+1 }
+
+// announceDepth has the children told at once if the depth has changed. Until they are, those of a node that lost its way to the relays
+// take it for one.
+func (h *Hub) announceDepth() {
+	depth := h.Depth()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if depth == h.announcedDepth {
+		return
+	}
+	h.announcedDepth = depth
+	for _, l := range h.links {
+		if !l.dialled {
+			l.wakeSender()
+		}
+	}
+}
+
 // LinkCount returns the number of links.
 func (h *Hub) LinkCount() int {
 	h.mu.Lock()
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -81,10 +81,7 @@
 		}
 		o.void = true
 		h.cfg.Logger.Info("relay lease marked as void: holder is not running as a relay", zap.String("slot", o.key), zap.String("holder", o.lease.GetNode()))
-		select {
-		case h.pollNow <- struct{}{}:
-		default:
-		}
+		h.requestPoll()
 	}
 }
 
@@ -98,11 +95,9 @@
 		h.isolatedSince = time.Time{}
 		return true
 	}
-	for _, l := range h.links {
-		if l.dialled {
-			h.isolatedSince = time.Time{}
-			return false
-		}
+	if h.hasParent() {
+		h.isolatedSince = time.Time{}
+		return false
 	}
 	if h.isolatedSince.IsZero() {
 		h.isolatedSince = h.cfg.Now()
@@ -138,7 +133,11 @@
 	if h.reliesOnRelays() && !h.lacksConfiguration() {
 		return
 	}
-	if err := h.cfg.Log.Sync(ctx); err != nil && h.cfg.Store.IsReachable() {
+	err = h.cfg.Log.Sync(ctx)
+	switch {
+	case err == nil && !h.IsRelay():
+		h.actAsRoot()
+	case err != nil && h.cfg.Store.IsReachable():
 		h.cfg.Logger.Warn("could not read changes from the platform", zap.Error(err))
 	}
 }
@@ -329,6 +328,7 @@
 		}
 	}
 	h.mu.Unlock()
+	h.announceDepth()
 	h.publishParents()
 }
 
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -62,6 +62,8 @@
 	packedChanges bool
 	// sentAlternates holds the alternates that were last sent.
 	sentAlternates []string
+	// sentDepth is the depth of the last beat.
+	sentDepth int
 	// announcedRevision is the revision of the last beat that was sent outside the regular interval.
 	announcedRevision uint64
 
@@ -90,7 +92,6 @@
 func (l *link) initCursor(revision uint64) cursor {
 	l.revision = revision
 	l.received = map[string]*wirepb.MemberRecord{}
-	l.wake = make(chan struct{}, 1)
 	return cursor{members: l.hub.cfg.Members.Feed.Cursor()}
 }
 
@@ -127,6 +128,9 @@
 			return
 		}
 		includeDistributed = false
+		if !l.dialled && l.hub.Depth() != l.sentDepth && l.sendBeat() != nil {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -212,8 +216,9 @@
 }
 
 func (l *link) sendBeat() error {
+	l.sentDepth = l.hub.Depth()
 	beat := &wirepb.LinkBeat{
-		Revision: l.hub.cfg.Log.State().Revision, Depth: uint32(l.hub.Depth()), Promoted: l.hub.promotionCandidate(),
+		Revision: l.hub.cfg.Log.State().Revision, Depth: uint32(l.sentDepth), Promoted: l.hub.promotionCandidate(),
 	}
 	if alternates := l.hub.alternates(l.node); !slices.Equal(alternates, l.sentAlternates) {
 		beat.Alternates, l.sentAlternates = alternates, alternates
@@ -313,6 +318,7 @@
 	l.advanceRevision(beat.GetRevision())
 	l.subtree.Store(&SubtreeSummary{Nodes: beat.GetNodes(), OldestRevision: beat.GetOldestRevision(), Refusals: beat.GetRefusals()})
 	l.hub.applyBeat(l, beat)
+	l.hub.announceDepth()
 	if l.dialled && !l.betweenRelays && int(beat.GetDepth()) > maxDepth {
 		return &DetachedError{Node: l.node}
 	}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	local, remote := net.Pipe()
 	t.Cleanup(func() { _, _ = local.Close(), remote.Close() })
-	l := &link{hub: h, conn: local, node: name, address: name}
+	l := &link{hub: h, conn: local, node: name, address: name, wake: make(chan struct{}, 1)}
 	l.initCursor(0)
 	return l, remote
 }
@@ -205,6 +205,71 @@
 	require.NotEqual(t, h.alternates("a"), h.alternates("b"), "different nodes get different alternates")
 }
 
+// Guards against a configuration that reaches a node late because the node goes on waiting after it has lost both parents (CONFIG).
+func TestNodeWithoutParentsPollsAtOnce(t *testing.T) {
+	h := newHub()
+	var parents []*link
+	for _, name := range []string{"first", "second"} {
+		l, _ := newLink(t, h, name)
+		l.dialled = true
+		require.True(t, h.addLink(l))
+		parents = append(parents, l)
+	}
+	child, _ := newLink(t, h, "child")
+	require.True(t, h.addLink(child))
+	h.removeLink(child)
+	h.removeLink(parents[0])
+	require.Empty(t, h.pollNow, "one parent is left")
+	h.removeLink(parents[1])
+	require.Len(t, h.pollNow, 1)
+}
+
+// Guards against nodes that go on relying on a parent which has lost its way to the relays, until its next beat at each hop (CONFIG).
+func TestLossOfThePathIsPassedOnAtOnce(t *testing.T) {
+	h := newHub()
+	parent, _ := newLink(t, h, "parent")
+	parent.dialled = true
+	parent.depth.Store(1)
+	require.True(t, h.addLink(parent))
+	h.announceDepth()
+	child, remote := newLink(t, h, "child")
+	require.True(t, h.admit(child))
+	child.sentDepth = unreachableDepth
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go child.sendLoop(ctx, cursor{}, h.cfg.Members.Digest())
+	reader := bufio.NewReader(remote)
+	nextDepth := func() int {
+		_ = remote.SetReadDeadline(time.Now().Add(beatInterval / 2))
+		for {
+			message := &wirepb.LinkFrame{}
+			require.NoError(t, frame.Read(reader, message, maxFrameBytes))
+			if message.GetBeat() != nil {
+				return int(message.GetBeat().GetDepth())
+			}
+		}
+	}
+	require.Equal(t, 2, nextDepth())
+	require.Error(t, parent.handleBeat(&wirepb.LinkBeat{Depth: maxDepth + 1}), "the parent is too far away")
+	require.Equal(t, maxDepth+2, nextDepth())
+}
+
+// Guards against all nodes below a lost relay reading the platform, where one that does passes the changes on.
+func TestNodeThatReadsThePlatformKeepsItsChildren(t *testing.T) {
+	h := newHub()
+	parent, _ := newLink(t, h, "parent")
+	parent.dialled = true
+	require.True(t, h.addLink(parent))
+	h.removeLink(parent)
+	require.Equal(t, 1, h.Depth(), "it is about to read the platform")
+	h.actsAsRootUntil = time.Time{}
+	require.Equal(t, unreachableDepth, h.Depth(), "it could not")
+	h.actAsRoot()
+	require.Equal(t, 1, h.Depth())
+	h.cfg.Now = func() time.Time { return time.Now().Add(rootTimeout) }
+	require.Equal(t, unreachableDepth, h.Depth(), "its last read is too long ago")
+}
+
 // The tree of a data centre must hold the nodes of the largest expected one, each with two parents.
 func TestTreeFitsLargestDataCentre(t *testing.T) {
 	const expectedNodes = 820
