Refuse rather than deny requests at a node that changes do not reach

What callers see: a 404, which they do not repeat, for a route that was added while the node was cut off from relays and platform.

Cause: the node denied on a configuration whose age it did not know.

The line of the request says so (in_touch). Weighed: asking a relay or the store for each such request (calls of the store are dear, and nothing is gained while links are alive, since they bring a change sooner than an answer); an age that travels with the beats (needs beats several times a second to be below the bounds).

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -198,7 +198,7 @@
 }
 
 func newProxy(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
-	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table,
+	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table, hub *relay.Hub,
 ) *route.Proxy {
 	return route.New(route.Config{
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
@@ -207,7 +207,7 @@
 		},
 		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims,
 		Observe: metrics.ObserveCall, OnInvalidRequest: func() { metrics.CountInvalidInput("caller") }, OnRetry: metrics.CountRetry,
-		Stopping: func() bool { return status.node.stopping.Load() },
+		InTouch: hub.HasPath, Stopping: func() bool { return status.node.stopping.Load() },
 	})
 }
 
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -61,6 +61,8 @@
 	Observe func(route *tree.Route, outcome wirepb.Outcome, took time.Duration)
 	// OnInvalidRequest is called for each request that is refused before it becomes a call.
 	OnInvalidRequest func()
+	// InTouch reports whether changes of the configuration reach this node; nil means that they do.
+	InTouch func() bool
 	// Stopping reports whether the node is stopping: running calls are then left to finish.
 	Stopping func() bool
 	// OnRetry is called for each retry.
@@ -89,6 +91,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	if cfg.InTouch == nil {
+		cfg.InTouch = func() bool { return true }
+	}
 	if cfg.Stopping == nil {
 		cfg.Stopping = func() bool { return false }
 	}
@@ -110,9 +115,14 @@
 	}
 	route := state.MatchRoute(requestHost(r), requestPath(r))
 	if route == nil {
+		inTouch := p.cfg.InTouch()
 		p.cfg.Logger.Info("request matches no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", requestHost(r)),
 			zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion),
-			zap.Duration("waited", waitedSince(front.ReceivedAt(r), started)))
+			zap.Duration("waited", waitedSince(front.ReceivedAt(r), started)), zap.Bool("in_touch", inTouch))
+		if !inTouch {
+			p.refuseRequest(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "out_of_touch", Detail: "this node may lack a newer configuration with a route for this path"})
+			return
+		}
 		p.refuseRequest(w, &RequestError{Status: http.StatusNotFound, Kind: "no_route", Detail: "no route has a prefix of this path"})
 		return
 	}
