--- a/internal/relay/lateness_test.go
+++ b/internal/relay/lateness_test.go
@@ -43,7 +43,6 @@
 	network *emul.Network
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	nodes   []*virtualNode
-	stops   []func()
 }
 
 type virtualNode struct {
