--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -19,6 +19,7 @@
 	"github.com/turmericdale/turmericdale/internal/depart"
 	"github.com/turmericdale/turmericdale/internal/egress"
 	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/front"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/logs"
 	"github.com/turmericdale/turmericdale/internal/member"
@@ -57,10 +58,11 @@
 
 type clock func() time.Time
 
-// slowOperationThreshold is the time from which an operation on the platform is logged, at most slowOperationsLogged of them a second.
 const (
+	// slowOperationThreshold is the time from which an operation on the platform is logged.
 	slowOperationThreshold = 250 * time.Millisecond
-	slowOperationsLogged   = 5
+	// slowOperationsLogged is the number of slow operations that are logged per second.
+	slowOperationsLogged = 5
 )
 
 func newStore(s *conf.Settings, logger *zap.Logger, metrics *meter.Metrics) *store.Client {
@@ -207,7 +209,7 @@
 		},
 		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims,
 		Observe: metrics.ObserveCall, OnInvalidRequest: func() { metrics.CountInvalidInput("caller") }, OnRetry: metrics.CountRetry,
-		InTouch: hub.HasPath, Stopping: func() bool { return status.node.stopping.Load() },
+		ReceivedAt: front.ReceivedAt, InTouch: hub.HasPath, Stopping: func() bool { return status.node.stopping.Load() },
 	})
 }
 
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -25,7 +25,8 @@
 	Jitter func() float64
 	// ExportRows returns the rows of other tables that are written along with a change; nil means none.
 	ExportRows func(change *wirepb.Change) ([]*wirepb.Row, error)
-	// OnApplied is called for each change that comes into force, with its age; nil means that nothing is.
+	// OnApplied is called for each change that comes into force, with its age, but not for those with which a node starts; nil means that
+	// nothing is.
 	OnApplied func(age time.Duration)
 }
 
@@ -152,17 +153,24 @@
 		l.recentChanges = append([]*wirepb.Change(nil), l.recentChanges[len(l.recentChanges)-recentChangesKept:]...)
 	}
 	l.setState(next)
+	if state.Revision > 0 {
+		l.observeAges(changes)
+	}
 	l.logApplied(changes, origin, started)
 	return false
 }
 
-// logApplied reports changes that came into force, with the age of the oldest one and the times of the stages on this node. The age
-// depends on the clock of the node that committed the change.
-func (l *Log) logApplied(changes []*wirepb.Change, origin Origin, started time.Time) {
+func (l *Log) observeAges(changes []*wirepb.Change) {
 	now := l.now()
 	for _, c := range changes {
 		l.onApplied(now.Sub(c.GetTime().AsTime()))
 	}
+}
+
+// logApplied logs changes that came into force, with the age of the oldest one and the times of the stages on this node. The age
+// depends on the clock of the node that committed the change.
+func (l *Log) logApplied(changes []*wirepb.Change, origin Origin, started time.Time) {
+	now := l.now()
 	l.logger.Info("changes applied", zap.Uint64("revision", changes[len(changes)-1].GetRevision()), zap.Int("changes", len(changes)),
 		zap.String("from", origin.Node), zap.Duration("age", now.Sub(changes[0].GetTime().AsTime())),
 		zap.Duration("waited", started.Sub(origin.ReceivedAt)), zap.Duration("compiled_in", now.Sub(started)))
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -252,6 +252,7 @@
 	h.announceDepth()
 }
 
+// hasParent reports whether this node has a link that it dialled. h.mu must be held.
 func (h *Hub) hasParent() bool {
 	for _, l := range h.links {
 		if l.dialled {
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -17,7 +17,6 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/claim"
-	"github.com/turmericdale/turmericdale/internal/front"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/move"
 	"github.com/turmericdale/turmericdale/internal/peer"
@@ -61,6 +60,8 @@
 	Observe func(route *tree.Route, outcome wirepb.Outcome, took time.Duration)
 	// OnInvalidRequest is called for each request that is refused before it becomes a call.
 	OnInvalidRequest func()
+	// ReceivedAt returns when a request had been read, or the zero time if that is unknown; nil means that it is.
+	ReceivedAt func(r *http.Request) time.Time
 	// InTouch reports whether changes of the configuration reach this node; nil means that they do.
 	InTouch func() bool
 	// Stopping reports whether the node is stopping: running calls are then left to finish.
@@ -91,6 +92,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = zap.NewNop()
 	}
+	if cfg.ReceivedAt == nil {
+		cfg.ReceivedAt = func(*http.Request) time.Time { return time.Time{} }
+	}
 	if cfg.InTouch == nil {
 		cfg.InTouch = func() bool { return true }
 	}
@@ -118,7 +122,7 @@
 		inTouch := p.cfg.InTouch()
 		p.cfg.Logger.Info("request matches no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", requestHost(r)),
 			zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion),
-			zap.Duration("waited", waitedSince(front.ReceivedAt(r), started)), zap.Bool("in_touch", inTouch))
+			zap.Duration("waited", waitedSince(p.cfg.ReceivedAt(r), started)), zap.Bool("in_touch", inTouch))
 		if !inTouch {
 			p.refuseRequest(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "out_of_touch", Detail: "this node may lack a newer configuration with a route for this path"})
 			return
