Answer requests that have begun to arrive before a stop closes connections

Cause: the stop closed all connections at once, whatever was on them: a request of which a part had been read, that waited in the kernel, or whose refusal was not yet written. Now the goroutine that reads from a connection closes it, after a last look at what has arrived, and the stop waits for responses for at most 0.1 s. A request that arrives as an idle timeout passes is read, too.

The soak's check also counted requests that crossed the close, which HTTP/1.1 can't prevent and the users' rule LOST doesn't count ("A request that crosses your close and isn't passed on doesn't count"). The check was wrong there. It now allows a request without a response only if it was sent during a planned stop of its node, got no byte, failed within the rule's 0.2 s, was executed by no upstream, and its node did not log that it closed a connection with a request on it; one case of its test each.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -29,8 +29,12 @@
 	reader         *bufio.Reader
 
 	mu sync.Mutex
+	// reading means that a request has begun to arrive and has not been read to its end.
+	reading bool
 	// pending is the number of requests that were read and have no response yet.
 	pending int
+	// unwritten is the number of requests that were read and whose responses have not been written.
+	unwritten int
 	// draining means that the connection accepts no further request.
 	draining bool
 	// slots bounds the requests that run or have a response that is not yet written.
@@ -73,6 +77,7 @@
 		wait.Go(func() {
 			defer func() { <-c.slots }()
 			c.serveRequest(ctx, handler, request, previous)
+			c.finishRequest()
 			close(next)
 		})
 		if request.Close || c.isDraining() {
@@ -115,10 +120,9 @@
 func (c *conn) readRequest() (*http.Request, error) {
 	limits := c.server.cfg.Limits()
 	c.limited.N = limits.MaxHeaderBytes + readBufferBytes
-	if _, err := c.reader.Peek(1); err != nil {
+	if err := c.awaitRequest(limits.HeaderTimeout); err != nil {
 		return nil, err
 	}
-	_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	request, err := http.ReadRequest(c.reader)
 	switch {
 	case err != nil && c.limited.N <= 0:
@@ -143,6 +147,34 @@
 	return request.WithContext(context.WithValue(c.requestContext, receivedKey{}, time.Now())), nil
 }
 
+// awaitRequest waits until a request begins to arrive and gives it headerTimeout to arrive in full. A request that came as the wait timed
+// out is still read: its caller cannot tell from a closed connection whether it has run.
+func (c *conn) awaitRequest(headerTimeout time.Duration) error {
+	for {
+		_, err := c.reader.Peek(1)
+		var netErr net.Error
+		timedOut := errors.As(err, &netErr) && netErr.Timeout()
+		if err != nil && !timedOut {
+			return err
+		}
+		c.beginReading(headerTimeout)
+		if !timedOut {
+			return nil
+		}
+		if probe.Look(c.netConn) != probe.Readable {
+			return err
+		}
+	}
+}
+
+// beginReading gives the next request timeout to arrive.
+func (c *conn) beginReading(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
+}
+
 // receivedKey is the key of the time at which a request had been read, among the values of its context.
 type receivedKey struct{}
 
@@ -194,10 +226,12 @@
 func (c *conn) beginRequest() http.Handler {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	if c.draining {
 		return nil
 	}
 	c.pending++
+	c.unwritten++
 	if c.server.refusing.Load() {
 		c.draining = true
 		return c.server.cfg.RefusalHandler
@@ -253,6 +287,13 @@
 	return c.draining && c.pending == 0
 }
 
+// finishRequest records that the response to a request was written or cannot be.
+func (c *conn) finishRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unwritten--
+}
+
 func (c *conn) writeResponse(w *bufferedResponse, request *http.Request, last bool) error {
 	response := &http.Response{
 		StatusCode: w.statusCode(), ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Request: request,
@@ -280,6 +321,27 @@
 	_ = c.netConn.Close()
 }
 
+// endIfIdle ends the wait for a further request and reports whether the connection has none. The goroutine that reads from the connection
+// closes it, unless a request has come meanwhile.
+func (c *conn) endIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		return c.unwritten == 0
+	}
+	if !c.reading && c.unwritten == 0 {
+		_ = c.netConn.SetReadDeadline(time.Now())
+	}
+	return false
+}
+
+// hasRequest reports whether a request is being read or its response has not been written.
+func (c *conn) hasRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading || c.unwritten > 0
+}
+
 func (c *conn) close() {
 	c.cancel()
 	_ = c.netConn.Close()
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -21,8 +21,9 @@
 	readBufferBytes = 4 << 10
 	// emptyBacklogWait is how long Accept waits at a time while the listener is being closed, and maxEmptyWaits after how many waits in
 	// a row without a connection it is closed. A wait may be over before Accept has looked whether a connection waits.
-	emptyBacklogWait = 20 * time.Millisecond
-	maxEmptyWaits    = 3
+	emptyBacklogWait  = 20 * time.Millisecond
+	maxEmptyWaits     = 3
+	idleCheckInterval = 5 * time.Millisecond
 	// acceptTimeout bounds the time to accept the connections that wait.
 	acceptTimeout = 500 * time.Millisecond
 )
@@ -180,12 +181,35 @@
 	return len(s.conns)
 }
 
-// CloseConnections closes all connections and waits for their goroutines.
-func (s *Server) CloseConnections() {
+// CloseIdleConnections closes the connections that have no request and waits, for at most timeout, for the responses of the other ones.
+func (s *Server) CloseIdleConnections(timeout time.Duration) {
+	for started := time.Now(); !s.endIdle() && time.Since(started) < timeout; {
+		time.Sleep(idleCheckInterval)
+	}
+}
+
+// endIdle ends the idle connections and reports whether no connection waits for a request or has one.
+func (s *Server) endIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := true
+	for c := range s.conns {
+		ended = c.endIfIdle() && ended
+	}
+	return ended
+}
+
+// CloseConnections closes all connections, waits for their goroutines and returns how many connections had a request without a response.
+func (s *Server) CloseConnections() int {
+	cut := 0
 	s.mu.Lock()
 	for c := range s.conns {
+		if c.hasRequest() {
+			cut++
+		}
 		c.close()
 	}
 	s.mu.Unlock()
 	s.wait.Wait()
+	return cut
 }
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -87,6 +87,18 @@
 	return false
 }
 
+// isReading reports whether a request has begun to arrive on a connection.
+func (f *fixture) isReading() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.hasRequest() {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *fixture) dial(t *testing.T) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	conn, err := net.Dial("tcp", f.address)
@@ -333,3 +345,59 @@
 	require.Error(t, err, "the listener is closed")
 	s.CloseConnections()
 }
+
+// Guards against requests that are cut off at a planned stop although they had begun to arrive (soak seed 2 in CI).
+func TestCloseIdleConnectionsAnswersWhatHasArrived(t *testing.T) {
+	f := newFixture(t)
+	idle, idleReader := f.dial(t)
+	half, halfReader := f.dial(t)
+	send(t, idle, get("/a"))
+	requireResponse(t, idleReader, http.StatusOK, "/a")
+	send(t, half, "GET /half HTTP/1.1\r\n")
+	require.Eventually(t, f.isReading, testTimeout, time.Millisecond)
+	f.RefuseRequests()
+	closed := make(chan int, 1)
+	go func() {
+		f.CloseIdleConnections(testTimeout)
+		closed <- f.CloseConnections()
+	}()
+	_, err := idleReader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the idle connection is closed")
+	send(t, half, "Host: h\r\n\r\n")
+	require.True(t, requireResponse(t, halfReader, http.StatusServiceUnavailable, "").Close)
+	require.Zero(t, <-closed)
+}
+
+// Guards against requests that are cut off because they arrive while the wait for them is being ended.
+func TestRequestsThatArriveAsConnectionsCloseAreAnswered(t *testing.T) {
+	const callers = 32
+	f := newFixture(t)
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for range callers {
+		conn, reader := f.dial(t)
+		conns, readers = append(conns, conn), append(readers, reader)
+	}
+	require.Eventually(t, func() bool { return f.ConnectionCount() == callers }, testTimeout, time.Millisecond)
+	f.RefuseRequests()
+	for _, conn := range conns {
+		send(t, conn, get("/late"))
+	}
+	f.CloseIdleConnections(testTimeout)
+	require.Zero(t, f.CloseConnections())
+	for _, reader := range readers {
+		requireResponse(t, reader, http.StatusServiceUnavailable, "")
+	}
+}
+
+func TestCloseConnectionsCountsRequestsWithoutResponse(t *testing.T) {
+	f := newFixture(t)
+	idle, idleReader := f.dial(t)
+	send(t, idle, get("/a"))
+	requireResponse(t, idleReader, http.StatusOK, "/a")
+	half, _ := f.dial(t)
+	send(t, half, "GET /half HTTP/1.1\r\n")
+	require.Eventually(t, f.isReading, testTimeout, time.Millisecond)
+	f.CloseIdleConnections(idleCheckInterval)
+	require.Equal(t, 1, f.CloseConnections())
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -24,7 +24,9 @@
 	cancelTimeout = 200 * time.Millisecond
 	// finalDeliveryDelay lets the last replies, and the record that this node leaves, reach other nodes before the process ends.
 	finalDeliveryDelay = 200 * time.Millisecond
-	shutdownTimeout    = 300 * time.Millisecond
+	// closeTimeout bounds the time to answer requests that arrive while connections are closed.
+	closeTimeout    = 100 * time.Millisecond
+	shutdownTimeout = 300 * time.Millisecond
 )
 
 // StopTimeoutError reports the number of calls that were still running at the stop timeout.
@@ -86,7 +88,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	_ = n.callerListener.Close()
-	n.callerServer.CloseConnections()
+	n.callerServer.CloseIdleConnections(closeTimeout)
+	if cut := n.callerServer.CloseConnections(); cut > 0 {
+		n.logger.Warn("connections closed with requests unanswered", zap.Int("connections", cut))
+	}
 	for _, s := range servers {
 		_ = s.Shutdown(ctx)
 		_ = s.Close()
--- a/test/proof/soak_test.go
+++ b/test/proof/soak_test.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +34,8 @@
 	maxResponseDelay = 500 * time.Millisecond
 	// faultEffectDuration is how long after a fault of a node its effects may last: three beat intervals of a link.
 	faultEffectDuration = 3 * time.Second
+	// maxCrossingDuration is the required limit on how long after its last byte a request may be cut off at a planned stop.
+	maxCrossingDuration = 200 * time.Millisecond
 )
 
 // soak injects overlapping random faults into a deployment and records which failed requests they may explain.
@@ -46,7 +50,9 @@
 	busy          map[string]bool
 	restartCounts map[string]int
 	// disruptions holds, by caller address, when a node was killed or frozen, so that its callers may see broken connections.
-	disruptions      map[netip.AddrPort][]interval
+	disruptions map[netip.AddrPort][]interval
+	// stops holds, by caller address, the times from SIGTERM to the end of the process.
+	stops            map[netip.AddrPort][]interval
 	acceptedRevision uint64
 }
 
@@ -86,6 +92,7 @@
 	s := &soak{
 		deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0)),
 		busy: map[string]bool{}, restartCounts: map[string]int{}, disruptions: map[netip.AddrPort][]interval{},
+		stops: map[netip.AddrPort][]interval{},
 	}
 	proxyTarget := netip.AddrPortFrom(s.platformAddress.Addr(), s.platformAddress.Port()+1)
 	s.serve(proxyTarget, s.platform.Handler())
@@ -200,8 +207,12 @@
 
 func (s *soak) stopNode() {
 	s.onRandomNode(func(v emul.VM, cmd *exec.Cmd) {
+		started := time.Now()
 		_ = cmd.Process.Signal(syscall.SIGTERM)
 		_ = cmd.Wait()
+		s.mu.Lock()
+		s.stops[v.CallerAddress()] = append(s.stops[v.CallerAddress()], interval{from: started, to: time.Now()})
+		s.mu.Unlock()
 		time.Sleep(s.randomDuration(10, 300))
 		s.restart(v)
 	})
@@ -322,10 +333,15 @@
 // requireNoCutRequests checks that only nodes that were killed or frozen cut off requests or answer them late.
 func (s *soak) requireNoCutRequests(records []emul.RequestRecord) {
 	s.t.Helper()
+	allowance := crossingAllowance{stops: s.stops, executions: s.executionsByRequestID(), nodesThatCut: s.nodesThatCutRequests()}
 	for _, r := range records {
 		if r.Error == "" || r.NotConnected || s.wasDisrupted(r) {
 			continue
 		}
+		if allowance.covers(r) {
+			s.t.Logf("request crossed the close of a planned stop: %+v", r)
+			continue
+		}
 		s.t.Errorf("request cut off: %+v", r)
 	}
 	const maxLatency = 3*time.Second + maxResponseDelay
@@ -336,6 +352,43 @@
 	}
 }
 
+// executionsByRequestID returns how often the upstreams executed each request.
+func (s *soak) executionsByRequestID() map[string]int {
+	executions := map[string]int{}
+	for _, u := range s.upstreams {
+		for id, count := range u.ExecutionCounts().CallsByRequestID {
+			executions[id] += count
+		}
+	}
+	return executions
+}
+
+// nodesThatCutRequests returns the caller addresses of the nodes that closed a connection with a request that they had begun to read.
+func (s *soak) nodesThatCutRequests() map[netip.AddrPort]bool {
+	cut := map[netip.AddrPort]bool{}
+	for _, v := range s.vms {
+		data, err := os.ReadFile(filepath.Join(s.directory, v.Node+".log"))
+		require.NoError(s.t, err)
+		cut[v.CallerAddress()] = strings.Contains(string(data), `"msg":"connections closed with requests unanswered"`)
+	}
+	return cut
+}
+
+// crossingAllowance decides which requests without a response only crossed the close of their connection at a planned stop. The users'
+// rule on lost requests doesn't count these: nothing has read them or passed them on.
+type crossingAllowance struct {
+	stops        map[netip.AddrPort][]interval
+	executions   map[string]int
+	nodesThatCut map[netip.AddrPort]bool
+}
+
+func (a crossingAllowance) covers(r emul.RequestRecord) bool {
+	if r.Status != 0 || r.Latency > maxCrossingDuration || a.executions[r.RequestID] > 0 || a.nodesThatCut[r.Address] {
+		return false
+	}
+	return slices.ContainsFunc(a.stops[r.Address], func(stop interval) bool { return r.Sent.After(stop.from) && r.Sent.Before(stop.to) })
+}
+
 // wasDisrupted reports whether a request overlaps a disruption of its node or the effects of one.
 func (s *soak) wasDisrupted(r emul.RequestRecord) bool {
 	for _, d := range s.disruptions[r.Address] {
@@ -345,3 +398,34 @@
 	}
 	return false
 }
+
+func TestOnlyRequestsThatCrossACloseAreAllowed(t *testing.T) {
+	node := netip.MustParseAddrPort("127.0.0.1:1")
+	start := time.Now()
+	allowance := crossingAllowance{
+		stops:      map[netip.AddrPort][]interval{node: {{from: start, to: start.Add(time.Second)}}},
+		executions: map[string]int{"executed": 1}, nodesThatCut: map[netip.AddrPort]bool{},
+	}
+	crossed := emul.RequestRecord{RequestID: "a", Address: node, Sent: start.Add(time.Millisecond), Latency: time.Millisecond, Error: "EOF"}
+	require.True(t, allowance.covers(crossed))
+	tests := []struct {
+		name   string
+		change func(r *emul.RequestRecord)
+	}{
+		{"executed", func(r *emul.RequestRecord) { r.RequestID = "executed" }},
+		{"answered in part", func(r *emul.RequestRecord) { r.Status = 200 }},
+		{"cut long after it was sent", func(r *emul.RequestRecord) { r.Latency = maxCrossingDuration + 1 }},
+		{"sent before the stop", func(r *emul.RequestRecord) { r.Sent = start.Add(-time.Millisecond) }},
+		{"sent after the stop", func(r *emul.RequestRecord) { r.Sent = start.Add(2 * time.Second) }},
+		{"of a node that does not stop", func(r *emul.RequestRecord) { r.Address = netip.MustParseAddrPort("127.0.0.1:2") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			record := crossed
+			tt.change(&record)
+			require.False(t, allowance.covers(record))
+		})
+	}
+	allowance.nodesThatCut[node] = true
+	require.False(t, allowance.covers(crossed), "a node that has read requests which it did not answer")
+}
