Pass the age of the configuration on with beats, and read the platform when it is too old

Cause: a node took a parent that was alive for one that knows the changes. When a relay falls silent and then its children do, each level needs up to 1.25 s to notice the loss of the one above it, one after the other; the same when a parent that read the platform itself cannot any more.

Change: a beat says how old what its sender knows is, behind the changes that the sender had; a node passes on what it hears at once, so that the age is about one beat at any depth; from 1.5 s on it reads the platform itself. 404 becomes 503 (not run) by that age, above 2 s, rather than by the distance to a relay. A beat that is ahead of its changes does not count. The line of a 404 and a metric have the age.

Ruled out: a parent which passes on a beat late is not seen by the age, but by the pings of its session, as before.

--- a/internal/emul/network.go
+++ b/internal/emul/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 )
@@ -13,12 +14,12 @@
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*networkListener
 	silent    map[netip.AddrPort]bool
-	conns     map[netip.AddrPort][]net.Conn
+	conns     map[netip.AddrPort][]*networkConn
 }
 
 // NewNetwork returns a network without hosts.
 func NewNetwork() *Network {
-	return &Network{listeners: map[netip.AddrPort]*networkListener{}, silent: map[netip.AddrPort]bool{}, conns: map[netip.AddrPort][]net.Conn{}}
+	return &Network{listeners: map[netip.AddrPort]*networkListener{}, silent: map[netip.AddrPort]bool{}, conns: map[netip.AddrPort][]*networkConn{}}
 }
 
 // Listen returns the listener of a host.
@@ -45,6 +46,7 @@
 	}
 	near, far := net.Pipe()
 	local, remote := &networkConn{Conn: near, network: n, hosts: [2]netip.AddrPort{from, to}}, &networkConn{Conn: far, network: n, hosts: [2]netip.AddrPort{from, to}}
+	local.remote, remote.remote = remote, local
 	select {
 	case listener.accepted <- remote:
 	case <-listener.closed:
@@ -58,13 +60,25 @@
 	return local, nil
 }
 
-// Silence makes a host unreachable: what it sends and what is sent to it is lost.
+// Silence makes a host unreachable until Restore: what it sends and what is sent to it is held back.
 func (n *Network) Silence(host netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.silent[host] = true
 }
 
+// Restore ends the silence of a host: connections deliver what they held back, as TCP does.
+func (n *Network) Restore(host netip.AddrPort) {
+	n.mu.Lock()
+	delete(n.silent, host)
+	conns := slices.Clone(n.conns[host])
+	n.mu.Unlock()
+	for _, c := range conns {
+		go c.deliver()
+		go c.remote.deliver()
+	}
+}
+
 // Kill closes the listener and all connections of a host.
 func (n *Network) Kill(host netip.AddrPort) {
 	n.mu.Lock()
@@ -92,16 +106,54 @@
 
 	network *Network
 	hosts   [2]netip.AddrPort
+	remote  *networkConn
+
+	mu sync.Mutex
+	// held is what was written and not delivered while a host was silent.
+	held       []byte
+	delivering bool
 }
 
 // Write implements net.Conn.
 func (c *networkConn) Write(data []byte) (int, error) {
-	if c.network.isSilent(c.hosts) {
+	if c.hold(data) {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
 }
 
+// hold keeps data back and reports whether it did: while a host is silent, or earlier data waits.
+func (c *networkConn) hold(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.held) == 0 && !c.network.isSilent(c.hosts) {
+		return false
+	}
+	c.held = append(c.held, data...)
+	return true
+}
+
+// deliver writes what was held back, unless that is being done or a host is silent.
+func (c *networkConn) deliver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.delivering {
+		return
+	}
+	c.delivering = true
+	defer func() { c.delivering = false }()
+	for len(c.held) > 0 && !c.network.isSilent(c.hosts) {
+		data := slices.Clone(c.held)
+		c.mu.Unlock()
+		_, err := c.Conn.Write(data)
+		c.mu.Lock()
+		if err != nil {
+			return
+		}
+		c.held = c.held[len(data):]
+	}
+}
+
 type networkListener struct {
 	host     netip.AddrPort
 	accepted chan net.Conn
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -209,7 +209,7 @@
 		},
 		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims,
 		Observe: metrics.ObserveCall, OnInvalidRequest: func() { metrics.CountInvalidInput("caller") }, OnRetry: metrics.CountRetry,
-		ReceivedAt: front.ReceivedAt, InTouch: hub.HasPath, Stopping: func() bool { return status.node.stopping.Load() },
+		ReceivedAt: front.ReceivedAt, ConfigurationAge: hub.Age, Stopping: func() bool { return status.node.stopping.Load() },
 	})
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -86,6 +86,7 @@
 func (n *Node) registerMetrics() {
 	m := n.metrics
 	m.RegisterGauge("applied_revision", "Revision of the configuration in force.", func() float64 { return float64(n.log.State().Revision) })
+	m.RegisterGauge("configuration_age_seconds", "Bound of how old the configuration in force is.", func() float64 { return n.hub.Age().Seconds() })
 	m.RegisterGauge("known_revision", "Newest revision heard of.", func() float64 { return float64(n.log.KnownRevision()) })
 	m.RegisterGauge("members", "Nodes that are not down.", func() float64 { return float64(n.members.LiveCount()) })
 	m.RegisterGauge("links", "Links to other nodes.", func() float64 { return float64(n.hub.LinkCount()) })
--- /dev/null
+++ b/internal/relay/age.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// maxAge is the age of its configuration from which a node reads the platform itself although it has parents: these may be alive and
+	// know nothing newer, or their own parents may be lost. It exceeds the time between two beats.
+	maxAge = 1500 * time.Millisecond
+	// passOnInterval is the shortest time between two beats that pass on a new age, so that a node with two parents does not pass on both.
+	passOnInterval = 700 * time.Millisecond
+	// unknownAge is the age of the configuration of a node that has never heard how old it is.
+	unknownAge = time.Hour
+)
+
+// Age returns a bound of how old this node's configuration is: all changes that were committed before are in force here. A relay is
+// where changes come from and has age 0; beats pass the age on.
+func (h *Hub) Age() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.age()
+}
+
+// age is Age. h.mu must be held.
+func (h *Hub) age() time.Duration {
+	switch {
+	case h.relay:
+		return 0
+	case h.currentAt.IsZero():
+		return unknownAge
+	default:
+		return h.cfg.Now().Sub(h.currentAt)
+	}
+}
+
+// recordCurrent records that all changes that were committed before a time are in force here, and passes that on to the children.
+func (h *Hub) recordCurrent(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !at.After(h.currentAt) {
+		return
+	}
+	h.currentAt = at
+	now := h.cfg.Now()
+	if now.Sub(h.passedOnAt) < passOnInterval {
+		return
+	}
+	h.passedOnAt = now
+	for _, l := range h.links {
+		if !l.dialled {
+			l.wakeSender()
+		}
+	}
+}
+
+// hasApplied reports whether the changes up to a revision are in force here or were found to be invalid.
+func (h *Hub) hasApplied(revision uint64) bool {
+	invalid := h.cfg.Log.InvalidRevision()
+	return h.cfg.Log.State().Revision >= revision || invalid != nil && invalid.Revision >= revision
+}
+
+// untilOutOfTouch returns how long this node may still wait for its parents before it reads the platform itself.
+func (h *Hub) untilOutOfTouch() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.relay || h.leaving || !h.hasParent() {
+		return unknownAge
+	}
+	waitingSince := h.currentAt
+	if waitingSince.Before(h.parentSince) {
+		waitingSince = h.parentSince
+	}
+	return waitingSince.Add(maxAge).Sub(h.cfg.Now())
+}
+
+// readChanges reads the changes from the platform for a node whose parents are out of touch.
+func (h *Hub) readChanges(ctx context.Context) {
+	age, started := h.Age(), h.cfg.Now()
+	if err := h.cfg.Log.Sync(ctx); err != nil {
+		return
+	}
+	h.cfg.Logger.Info("changes read from the platform: parents are out of touch", zap.Duration("age", age), zap.Uint64("revision", h.cfg.Log.State().Revision))
+	h.recordCurrent(started)
+}
--- /dev/null
+++ b/internal/relay/age_test.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+// addParent adds a link to a parent of a hub.
+func addParent(t *testing.T, h *Hub, name string) *link {
+	t.Helper()
+	l, _ := newLink(t, h, name)
+	l.dialled = true
+	require.True(t, h.addLink(l))
+	return l
+}
+
+func beatOfAge(age time.Duration) *wirepb.LinkBeat { return &wirepb.LinkBeat{Age: durationpb.New(age)} }
+
+func TestAge(t *testing.T) {
+	const age = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub()
+		parent := addParent(t, h, "parent")
+		require.Equal(t, unknownAge, h.Age(), "no beat yet")
+		require.NoError(t, parent.handleBeat(beatOfAge(age)))
+		require.Equal(t, age, h.Age())
+		time.Sleep(time.Second)
+		require.Equal(t, time.Second+age, h.Age(), "it grows")
+		require.Positive(t, h.untilOutOfTouch())
+		time.Sleep(maxAge)
+		require.LessOrEqual(t, h.untilOutOfTouch(), time.Duration(0))
+		require.NoError(t, parent.handleBeat(beatOfAge(time.Minute)))
+		require.Less(t, h.Age(), time.Minute, "an older age does not replace a newer one")
+		require.NoError(t, parent.handleBeat(&wirepb.LinkBeat{Revision: 1}))
+		require.Greater(t, h.Age(), maxAge, "a beat ahead of its changes does not count")
+		require.NoError(t, parent.handleBeat(beatOfAge(0)))
+		require.Zero(t, h.Age())
+	})
+}
+
+// Guards against a node that starts, or has just got a parent, reading the platform although its parent is about to tell it the age.
+func TestNodeWaitsForItsFirstParent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub()
+		addParent(t, h, "parent")
+		require.Equal(t, maxAge, h.untilOutOfTouch())
+		time.Sleep(maxAge / 2)
+		addParent(t, h, "second")
+		require.Equal(t, maxAge/2, h.untilOutOfTouch(), "only the first one counts")
+	})
+}
+
+// Guards against ages that add up from hop to hop because each node passes them on at an interval of its own.
+func TestAgeIsPassedOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub()
+		parent, second := addParent(t, h, "parent"), addParent(t, h, "second")
+		child, remote := newLink(t, h, "child")
+		require.True(t, h.admit(child))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			child.sendLoop(ctx, cursor{}, h.cfg.Members.Digest())
+			close(done)
+		}()
+		beats := receiveBeats(remote)
+		synctest.Wait()
+		require.Len(t, beats, 1, "the age at the start")
+		<-beats
+		time.Sleep(passOnInterval)
+		require.NoError(t, parent.handleBeat(beatOfAge(0)))
+		synctest.Wait()
+		require.Len(t, beats, 1)
+		require.Zero(t, (<-beats).GetAge().AsDuration())
+		time.Sleep(passOnInterval / 2)
+		require.NoError(t, second.handleBeat(beatOfAge(0)))
+		synctest.Wait()
+		require.Empty(t, beats, "the beats of the second parent are not passed on as well")
+		cancel()
+		_ = remote.Close()
+		<-done
+	})
+}
+
+// receiveBeats returns a channel with the beats that arrive on a connection.
+func receiveBeats(conn net.Conn) chan *wirepb.LinkBeat {
+	beats := make(chan *wirepb.LinkBeat, 16)
+	go func() {
+		reader := bufio.NewReader(conn)
+		for {
+			message := &wirepb.LinkFrame{}
+			if frame.Read(reader, message, maxFrameBytes) != nil {
+				return
+			}
+			if beat := message.GetBeat(); beat != nil {
+				beats <- beat
+			}
+		}
+	}()
+	return beats
+}
+
+// Guards against nodes that read the platform all the time because beats come later than the age allows.
+func TestNodesInTouchDoNotReadThePlatform(t *testing.T) {
+	runVirtual(t, func(d *virtualDeployment) {
+		reads := func(n *virtualNode) uint64 { return n.hub.cfg.Store.Counters.Reads.Load() }
+		before := map[*virtualNode]uint64{}
+		for _, n := range d.nodes {
+			// A node that finds no parent with room reads the platform by design.
+			if n.hub.untilOutOfTouch() <= maxAge {
+				before[n] = reads(n)
+			}
+		}
+		require.Greater(t, len(before), nodesPerDataCentre/2)
+		deepest := 0
+		for range 100 {
+			time.Sleep(beatInterval / 3)
+			for _, n := range d.nodes {
+				require.Less(t, n.hub.Age(), maxAge, n.hub.cfg.Node)
+				deepest = max(deepest, n.hub.Depth())
+			}
+		}
+		require.Greater(t, deepest, 1)
+		for n, count := range before {
+			require.Equal(t, count, reads(n), n.hub.cfg.Node)
+		}
+	})
+}
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -102,6 +102,11 @@
 	linkedBefore bool
 	// actsAsRootUntil is until when this node, without a parent, counts as having a way to the changes since it reads the platform.
 	actsAsRootUntil time.Time
+	// currentAt is when all changes that had been committed were in force here, parentSince when this node got its first parent after it
+	// had none, passedOnAt when the children were last woken to be told of currentAt.
+	currentAt   time.Time
+	parentSince time.Time
+	passedOnAt  time.Time
 	// announcedDepth is the depth of which the children were told last.
 	announcedDepth int
 	wait           sync.WaitGroup
@@ -220,6 +225,9 @@
 	if _, found := h.links[l.node]; found {
 		return false
 	}
+	if l.dialled && !h.hasParent() {
+		h.parentSince = h.cfg.Now()
+	}
 	h.links[l.node], h.linkedBefore = l, true
 	return true
 }
@@ -244,12 +252,13 @@
 	}
 }
 
-// actAsRoot records that this node has read the changes from the platform.
-func (h *Hub) actAsRoot() {
+// actAsRoot records that this node has read the changes that had been committed by a time from the platform.
+func (h *Hub) actAsRoot(readAt time.Time) {
 	h.mu.Lock()
 	h.actsAsRootUntil = h.cfg.Now().Add(rootTimeout)
 	h.mu.Unlock()
 	h.announceDepth()
+	h.recordCurrent(readAt)
 }
 
 // hasParent reports whether this node has a link that it dialled. h.mu must be held.
@@ -304,9 +313,6 @@
 	return depth
 }
 
-// HasPath reports whether changes reach this node, by links from a relay or because it reads the platform itself.
-func (h *Hub) HasPath() bool { return h.Depth() <= maxDepth+1 }
-
 // announceDepth has the children told at once if the depth has changed. Until they are, those of a node that lost its way to the relays
 // take it for one.
 func (h *Hub) announceDepth() {
--- a/internal/relay/lateness_test.go
+++ b/internal/relay/lateness_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,8 @@
 	// inTouchDuration is how long a node must have run to be judged.
 	inTouchDuration    = 3 * time.Second
 	nodesPerDataCentre = 24
+	// lossInterval is the time between the losses of two levels of nodes. It is too short for those below to notice the first one.
+	lossInterval = 1100 * time.Millisecond
 )
 
 // virtualDeployment runs the nodes of two data centres on a network in memory and in virtual time.
@@ -43,15 +46,23 @@
 	network *emul.Network
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	nodes   []*virtualNode
+
+	// mu guards the fields of the nodes that change.
+	mu sync.Mutex
 }
 
 type virtualNode struct {
 	hub     *Hub
 	address netip.AddrPort
-	started time.Time
-	stop    func()
-	// gone means that the node is not to be judged any more.
-	gone bool
+	// calmSince is when the node started or the last disruption of its own ended.
+	calmSince time.Time
+	stop      func()
+	// gone means that the node is not to be judged any more, disrupted that it isn't for now.
+	gone      bool
+	goneAt    time.Time
+	disrupted bool
+	// platformCut means that the node cannot reach the platform.
+	platformCut *atomic.Bool
 }
 
 // runVirtual runs a test on a deployment that has settled.
@@ -96,7 +107,11 @@
 }
 
 func (d *virtualDeployment) startNode(name, dataCentre string, address netip.AddrPort) *virtualNode {
-	client := store.New(store.Config{Address: netip.MustParseAddrPort("192.0.2.1:1"), Dial: d.dial})
+	platformCut := &atomic.Bool{}
+	client := store.New(store.Config{Address: netip.MustParseAddrPort("192.0.2.1:1"), Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.dial(ctx, network, address)
+		return &cuttableConn{Conn: conn, cut: platformCut}, err
+	}})
 	pool := peer.NewPool(peer.PoolConfig{Now: time.Now, Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 		return d.network.Dial(ctx, address, to)
 	}})
@@ -120,7 +135,7 @@
 	run(func(ctx context.Context) { _ = server.Serve(ctx) })
 	run(h.Run)
 	run(h.cfg.Log.RunCommitter)
-	return &virtualNode{hub: h, address: address, started: time.Now(), stop: sync.OnceFunc(func() {
+	return &virtualNode{hub: h, address: address, calmSince: time.Now(), platformCut: platformCut, stop: sync.OnceFunc(func() {
 		cancel()
 		for range cap(done) {
 			<-done
@@ -142,20 +157,65 @@
 }
 
 func (d *virtualDeployment) kill(n *virtualNode) {
-	n.gone = true
+	d.setGone(n)
 	d.end(n)
 }
 
+func (d *virtualDeployment) setGone(n *virtualNode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n.gone = true
+	n.goneAt = time.Now()
+}
+
 func (d *virtualDeployment) end(n *virtualNode) {
 	d.network.Kill(n.address)
 	go n.stop()
 }
 
 func (d *virtualDeployment) silence(n *virtualNode) {
-	n.gone = true
+	d.setGone(n)
 	d.network.Silence(n.address)
 }
 
+// disrupt cuts a node off from the other nodes, from the platform or from both for a time.
+func (d *virtualDeployment) disrupt(n *virtualNode, duration time.Duration, nodes, platform bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n.disrupted {
+		return
+	}
+	n.disrupted = true
+	if nodes {
+		d.network.Silence(n.address)
+	}
+	n.platformCut.Store(platform)
+	time.AfterFunc(duration, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if !n.gone {
+			d.network.Restore(n.address)
+		}
+		n.platformCut.Store(false)
+		n.calmSince, n.disrupted = time.Now(), false
+	})
+}
+
+// cuttableConn is a connection to the platform on which requests are lost while its node is cut off from it.
+type cuttableConn struct {
+	net.Conn
+
+	cut *atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *cuttableConn) Write(data []byte) (int, error) {
+	if c.cut.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
 // commit commits a change at a relay of the other data centre and returns its revision.
 func (d *virtualDeployment) commit() (uint64, error) {
 	log := d.relays("other")[0].hub.cfg.Log
@@ -167,9 +227,11 @@
 
 // late returns the nodes on which a revision is not in force, except those that started within inTouchDuration.
 func (d *virtualDeployment) late(revision uint64) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var names []string
 	for _, n := range d.nodes {
-		if !n.gone && n.hub.cfg.Log.State().Revision < revision && time.Since(n.started) >= inTouchDuration {
+		if !n.gone && !n.disrupted && n.hub.cfg.Log.State().Revision < revision && time.Since(n.calmSince) >= inTouchDuration {
 			names = append(names, fmt.Sprintf("%s at depth %d with %d links", n.hub.cfg.Node, n.hub.Depth(), n.hub.LinkCount()))
 		}
 	}
@@ -203,6 +265,35 @@
 	}
 }
 
+// Guards against a configuration that comes into force late on nodes whose ancestors fall silent one level after another, so that the
+// times after which each level notices add up (CONFIG).
+func TestChangeComesIntoForceAfterLossOfOneLevelAfterAnother(t *testing.T) {
+	const rounds = 3
+	for range rounds {
+		runVirtual(t, requireChangeInForceAfterLosses)
+	}
+}
+
+func requireChangeInForceAfterLosses(d *virtualDeployment) {
+	var below []*virtualNode
+	for _, n := range d.nodes {
+		if n.hub.cfg.DataCentre == "dc" && n.hub.Depth() == 1 {
+			below = append(below, n)
+		}
+	}
+	for _, n := range d.relays("dc") {
+		d.silence(n)
+	}
+	revision, err := d.commit()
+	require.NoError(d.t, err)
+	time.Sleep(lossInterval)
+	for _, n := range below {
+		d.silence(n)
+	}
+	time.Sleep(configApply - lossInterval)
+	require.Empty(d.t, d.late(revision))
+}
+
 // Guards against a configuration that comes into force late on nodes that take each other for a way to a relay while nodes come, go and
 // are lost (CONFIG).
 func TestChangesComeIntoForceBesideLosses(t *testing.T) {
@@ -264,9 +355,9 @@
 	}
 }
 
-// injectEvent kills, silences, starts or stops nodes of the data centre.
+// injectEvent kills, silences, starts, stops or cuts off nodes of the data centre, some of them for a time.
 func (d *virtualDeployment) injectEvent(r *rand.Rand) {
-	const share, maxStarted, maxLeaveTime = 0.15, 4, 1500
+	const share, maxStarted, maxLeaveTime, minDisruption, maxDisruption = 0.15, 4, 1500, 300, 6000
 	var live []*virtualNode
 	for _, n := range d.nodes {
 		if n.hub.cfg.DataCentre == "dc" && !n.gone {
@@ -280,7 +371,11 @@
 			}
 		}
 	}
-	switch r.IntN(6) {
+	passing := func(nodes, platform bool) {
+		duration := time.Duration(minDisruption+r.IntN(maxDisruption-minDisruption)) * time.Millisecond
+		hit(func(n *virtualNode) { d.disrupt(n, duration, nodes, platform) })
+	}
+	switch r.IntN(9) {
 	case 0:
 		hit(d.kill)
 	case 1:
@@ -289,7 +384,7 @@
 		d.start("dc", 1+r.IntN(maxStarted))
 	case 4:
 		hit(func(n *virtualNode) {
-			n.gone = true
+			d.setGone(n)
 			leaveTime := time.Duration(r.IntN(maxLeaveTime)) * time.Millisecond
 			go func() {
 				n.hub.Leave(context.Background())
@@ -301,5 +396,11 @@
 		for _, n := range d.relays("dc") {
 			d.kill(n)
 		}
+	case 6:
+		passing(true, true)
+	case 7:
+		passing(false, true)
+	case 8:
+		passing(true, false)
 	}
 }
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -51,6 +51,8 @@
 		if h.needsPlatform() {
 			h.pollPlatform(ctx, rounds)
 			rounds++
+		} else if h.untilOutOfTouch() <= 0 {
+			h.readChanges(ctx)
 		}
 		timer := time.NewTimer(h.pollDelay())
 		select {
@@ -62,13 +64,17 @@
 	}
 }
 
-// pollDelay returns the jittered time to the next poll.
+// pollDelay returns the jittered time to the next poll, or the time until the parents count as out of touch if that is shorter.
 func (h *Hub) pollDelay() time.Duration {
 	interval := h.cfg.PollInterval
 	if !h.IsRelay() {
 		interval = min(interval, isolatedPollInterval)
 	}
-	return interval*3/4 + rand.N(interval/2)
+	delay := interval*3/4 + rand.N(interval/2)
+	if wait := h.untilOutOfTouch(); wait > 0 {
+		delay = min(delay, wait)
+	}
+	return delay
 }
 
 // voidLeases marks the leases of an address where no relay runs as void and starts the next poll of the platform at once.
@@ -133,10 +139,11 @@
 	if h.reliesOnRelays() && !h.lacksConfiguration() {
 		return
 	}
+	started := h.cfg.Now()
 	err = h.cfg.Log.Sync(ctx)
 	switch {
 	case err == nil && !h.IsRelay():
-		h.actAsRoot()
+		h.actAsRoot(started)
 	case err != nil && h.cfg.Store.IsReachable():
 		h.cfg.Logger.Warn("could not read changes from the platform", zap.Error(err))
 	}
@@ -320,6 +327,9 @@
 
 func (h *Hub) setRelay(relay bool) {
 	h.mu.Lock()
+	if h.relay && !relay {
+		h.currentAt = h.cfg.Now()
+	}
 	h.relay, h.promoted = relay, false
 	for _, l := range h.links {
 		// Which nodes this node dials depends on its role, so the links that it dialled are closed and replaced.
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -23,6 +24,8 @@
 	// other slot.
 	wanBeatInterval = 3 * time.Second
 	wanReadTimeout  = 7500 * time.Millisecond
+	// Beats to the children of a node that is not a relay follow those of its parents, or come a little later if these are late.
+	relayedBeatInterval = 1250 * time.Millisecond
 
 	writeTimeout     = 2 * time.Second
 	maxFrameBytes    = 1 << 20
@@ -62,8 +65,10 @@
 	packedChanges bool
 	// sentAlternates holds the alternates that were last sent.
 	sentAlternates []string
-	// sentDepth is the depth of the last beat.
-	sentDepth int
+	// sentDepth is the depth of the last beat, sentAt when it was sent, sentCurrentAt when the changes were current by it.
+	sentDepth     int
+	sentAt        time.Time
+	sentCurrentAt time.Time
 	// announcedRevision is the revision of the last beat that was sent outside the regular interval.
 	announcedRevision uint64
 
@@ -118,7 +123,7 @@
 	if l.sendMembers(l.hub.cfg.Members.Differing(buckets)) != nil {
 		return
 	}
-	beat, includeDistributed := time.NewTicker(l.beatInterval()), true
+	beat, beatIsDue, includeDistributed := time.NewTimer(l.beatInterval()), !l.dialled && !l.betweenRelays, true
 	defer beat.Stop()
 	for ctx.Err() == nil {
 		changes := l.hub.cfg.Log.Changed()
@@ -128,17 +133,19 @@
 			return
 		}
 		includeDistributed = false
-		if !l.dialled && l.hub.Depth() != l.sentDepth && l.sendBeat() != nil {
-			return
+		// The beat comes after the changes, since it says how old they are.
+		if beatIsDue || l.hasNews() {
+			if l.sendBeat() != nil {
+				return
+			}
+			beat.Reset(l.beatInterval())
 		}
+		beatIsDue = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-beat.C:
-			if l.sendBeat() != nil {
-				return
-			}
-			includeDistributed = true
+			beatIsDue, includeDistributed = true, true
 		case <-changes:
 		case <-verdicts:
 		case <-l.wake:
@@ -149,11 +156,28 @@
 	}
 }
 
+// hasNews reports whether a child is to be told of a new depth or age before the next regular beat.
+func (l *link) hasNews() bool {
+	if l.dialled {
+		return false
+	}
+	if l.hub.Depth() != l.sentDepth {
+		return true
+	}
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	return !l.hub.relay && l.hub.currentAt.After(l.sentCurrentAt) && l.hub.cfg.Now().Sub(l.sentAt) >= passOnInterval
+}
+
 func (l *link) beatInterval() time.Duration {
-	if l.wan {
+	switch {
+	case l.wan:
 		return wanBeatInterval
+	case !l.dialled && !l.hub.IsRelay():
+		return relayedBeatInterval
+	default:
+		return beatInterval
 	}
-	return beatInterval
 }
 
 func (l *link) readTimeout() time.Duration {
@@ -218,7 +242,7 @@
 func (l *link) sendBeat() error {
 	l.sentDepth = l.hub.Depth()
 	beat := &wirepb.LinkBeat{
-		Revision: l.hub.cfg.Log.State().Revision, Depth: uint32(l.sentDepth), Promoted: l.hub.promotionCandidate(),
+		Revision: l.hub.cfg.Log.State().Revision, Depth: uint32(l.sentDepth), Promoted: l.hub.promotionCandidate(), Age: l.nextAge(),
 	}
 	if alternates := l.hub.alternates(l.node); !slices.Equal(alternates, l.sentAlternates) {
 		beat.Alternates, l.sentAlternates = alternates, alternates
@@ -230,6 +254,14 @@
 	return l.write(&wirepb.LinkFrame{Kind: &wirepb.LinkFrame_Beat{Beat: beat}})
 }
 
+// nextAge returns the age for the next beat.
+func (l *link) nextAge() *durationpb.Duration {
+	l.hub.mu.Lock()
+	defer l.hub.mu.Unlock()
+	l.sentAt, l.sentCurrentAt = l.hub.cfg.Now(), l.hub.currentAt
+	return durationpb.New(l.hub.age())
+}
+
 func (l *link) write(message *wirepb.LinkFrame) error {
 	_ = l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	kind := kindOf(message)
@@ -318,6 +350,9 @@
 	l.advanceRevision(beat.GetRevision())
 	l.subtree.Store(&SubtreeSummary{Nodes: beat.GetNodes(), OldestRevision: beat.GetOldestRevision(), Refusals: beat.GetRefusals()})
 	l.hub.applyBeat(l, beat)
+	if l.dialled && !l.betweenRelays && l.hub.hasApplied(beat.GetRevision()) {
+		l.hub.recordCurrent(l.hub.cfg.Now().Add(-beat.GetAge().AsDuration()))
+	}
 	l.hub.announceDepth()
 	if l.dialled && !l.betweenRelays && int(beat.GetDepth()) > maxDepth {
 		return &DetachedError{Node: l.node}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -264,7 +264,7 @@
 	require.Equal(t, 1, h.Depth(), "it is about to read the platform")
 	h.actsAsRootUntil = time.Time{}
 	require.Equal(t, unreachableDepth, h.Depth(), "it could not")
-	h.actAsRoot()
+	h.actAsRoot(h.cfg.Now())
 	require.Equal(t, 1, h.Depth())
 	h.cfg.Now = func() time.Time { return time.Now().Add(rootTimeout) }
 	require.Equal(t, unreachableDepth, h.Depth(), "its last read is too long ago")
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -37,6 +37,9 @@
 	// answerGraceDuration is the time after a call's deadline in which the answer that its upstream gives at the deadline may
 	// still arrive.
 	answerGraceDuration = 100 * time.Millisecond
+	// maxDenialAge is the age of the configuration up to which a node denies that a route exists: the users' shortest bound for a change to
+	// come into force.
+	maxDenialAge = 2 * time.Second
 )
 
 // Config configures a Proxy.
@@ -62,8 +65,8 @@
 	OnInvalidRequest func()
 	// ReceivedAt returns when a request had been read, or the zero time if that is unknown; nil means that it is.
 	ReceivedAt func(r *http.Request) time.Time
-	// InTouch reports whether changes of the configuration reach this node; nil means that they do.
-	InTouch func() bool
+	// ConfigurationAge returns a bound of how old the configuration is; nil means that it is current.
+	ConfigurationAge func() time.Duration
 	// Stopping reports whether the node is stopping: running calls are then left to finish.
 	Stopping func() bool
 	// OnRetry is called for each retry.
@@ -95,8 +98,8 @@
 	if cfg.ReceivedAt == nil {
 		cfg.ReceivedAt = func(*http.Request) time.Time { return time.Time{} }
 	}
-	if cfg.InTouch == nil {
-		cfg.InTouch = func() bool { return true }
+	if cfg.ConfigurationAge == nil {
+		cfg.ConfigurationAge = func() time.Duration { return 0 }
 	}
 	if cfg.Stopping == nil {
 		cfg.Stopping = func() bool { return false }
@@ -119,11 +122,11 @@
 	}
 	route := state.MatchRoute(requestHost(r), requestPath(r))
 	if route == nil {
-		inTouch := p.cfg.InTouch()
+		age := p.cfg.ConfigurationAge()
 		p.cfg.Logger.Info("request matches no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", requestHost(r)),
 			zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion),
-			zap.Duration("waited", waitedSince(p.cfg.ReceivedAt(r), started)), zap.Bool("in_touch", inTouch))
-		if !inTouch {
+			zap.Duration("waited", waitedSince(p.cfg.ReceivedAt(r), started)), zap.Duration("age", age))
+		if age > maxDenialAge {
 			p.refuseRequest(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "out_of_touch", Detail: "this node may lack a newer configuration with a route for this path"})
 			return
 		}
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -384,14 +384,14 @@
 // Guards against a 404 for a route that was added while no changes reached the node (CONFIG).
 func TestNodeOutOfTouchDeniesNoRoute(t *testing.T) {
 	f := newFixture(t)
-	get := func(inTouch bool) *httptest.ResponseRecorder {
-		f.proxy.cfg.InTouch = func() bool { return inTouch }
+	get := func(age time.Duration) *httptest.ResponseRecorder {
+		f.proxy.cfg.ConfigurationAge = func() time.Duration { return age }
 		w := httptest.NewRecorder()
 		f.proxy.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/unknown", http.NoBody))
 		return w
 	}
-	require.Equal(t, http.StatusNotFound, get(true).Code)
-	refused := get(false)
+	require.Equal(t, http.StatusNotFound, get(maxDenialAge).Code)
+	refused := get(maxDenialAge + 1)
 	require.Equal(t, http.StatusServiceUnavailable, refused.Code)
 	require.NotEmpty(t, refused.Header().Get("Retry-After"))
 	require.Equal(t, OutcomeNotRun, refused.Header().Get(HeaderOutcome))
