Let nodes further from the relays wait for those above before they read the platform

Now a child of a relay reads from an age of 1.4 s on, each further level 0.15 s later, and gets by then what those above have read.

Test: TestNodesBelowWaitForThoseAbove.

--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// maxAge is the age of its configuration from which a node reads the platform itself although it has parents: these may be alive and
-	// know nothing newer, or their own parents may be lost. It exceeds the time between two beats.
-	maxAge = 1500 * time.Millisecond
+	// maxAge is the age of its configuration from which a child of a relay reads the platform itself although it has parents: these may be
+	// alive and know nothing newer, or their own parents may be lost. It exceeds the time between two beats.
+	maxAge = 1400 * time.Millisecond
+	// maxAgePerLevel is added for each further level, so that the nodes above have read the platform, and have passed on what they read,
+	// before the many below them do.
+	maxAgePerLevel = 150 * time.Millisecond
 	// passOnInterval is the shortest time between two beats that pass on a new age, so that a node with two parents does not pass on both.
 	passOnInterval = 700 * time.Millisecond
 	// unknownAge is the age of the configuration of a node that has never heard how old it is.
@@ -65,6 +68,7 @@
 
 // untilOutOfTouch returns how long this node may still wait for its parents before it reads the platform itself.
 func (h *Hub) untilOutOfTouch() time.Duration {
+	level := min(max(h.Depth(), 1), maxDepth+1)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.relay || h.leaving || !h.hasParent() {
@@ -74,7 +78,7 @@
 	if waitingSince.Before(h.parentSince) {
 		waitingSince = h.parentSince
 	}
-	return waitingSince.Add(maxAge).Sub(h.cfg.Now())
+	return waitingSince.Add(maxAge + time.Duration(level-1)*maxAgePerLevel).Sub(h.cfg.Now())
 }
 
 // readChanges reads the changes from the platform for a node whose parents are out of touch.
