Look for the end of a call once all that arrived with it was handled

A call that arrived together with the end of its stream, held up by a link, could be served although its caller had left long ago (GONE): the reader of the stream looked for the end before the receiver of the session had come to it.

Change: the look waits until the receiver reads on, which it does when it has handled all that it has read, for at most 10 ms. It waits only while the receiver is at work.

--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -14,6 +14,8 @@
 	yamuxHeaderBytes = 12
 	yamuxTypeOffset  = 1
 	yamuxTypeData    = 0
+	// maxHandlingTime bounds the wait for the receiver, which takes microseconds unless it is short of processor time.
+	maxHandlingTime = 10 * time.Millisecond
 )
 
 // mux is a session of yamux whose end leaves no read of a stream spinning. yamux announces the end to all reads before it ends their
@@ -43,6 +45,9 @@
 	return s.Stream.Close()
 }
 
+// AwaitReceiver waits until all that was read from the connection has reached its streams.
+func (s *muxStream) AwaitReceiver() { s.mux.conn.awaitHandled() }
+
 func newMux(conn net.Conn, start func(conn net.Conn) (*yamux.Session, error)) (*mux, error) {
 	m := &mux{streams: map[*muxStream]bool{}}
 	m.conn = &muxConn{Conn: conn, receiveEnded: make(chan struct{}), endReads: m.endReads}
@@ -115,11 +120,49 @@
 	endReceive   sync.Once
 	// endReads ends the pending reads of all streams.
 	endReads func()
+
+	mu sync.Mutex
+	// receiving means that the receiver handles what it has read, handled is closed once it has; nil if nobody waits for that.
+	receiving bool
+	handled   chan struct{}
+}
+
+// awaitHandled waits until the receiver has handled all that it has read, for at most maxHandlingTime.
+func (c *muxConn) awaitHandled() {
+	c.mu.Lock()
+	if !c.receiving {
+		c.mu.Unlock()
+		return
+	}
+	if c.handled == nil {
+		c.handled = make(chan struct{})
+	}
+	handled := c.handled
+	c.mu.Unlock()
+	timeout := time.NewTimer(maxHandlingTime)
+	defer timeout.Stop()
+	select {
+	case <-handled:
+	case <-timeout.C:
+	}
+}
+
+// setReceiving records that the receiver has read something, or has handled it and reads on.
+func (c *muxConn) setReceiving(receiving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = receiving
+	if !receiving && c.handled != nil {
+		close(c.handled)
+		c.handled = nil
+	}
 }
 
 // Read ends the reads of all streams before it reports an error, which ends the receiver.
 func (c *muxConn) Read(data []byte) (int, error) {
+	c.setReceiving(false)
 	n, err := c.Conn.Read(data)
+	c.setReceiving(err == nil)
 	if err != nil {
 		c.endReads()
 		c.endReceive.Do(func() { close(c.receiveEnded) })
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -106,7 +106,7 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrSessionShutdown) || errors.As(err, &network)
 }
 
-func (s *Server) serveStream(ctx context.Context, stream net.Conn) {
+func (s *Server) serveStream(ctx context.Context, stream *muxStream) {
 	defer func() { _ = stream.Close() }()
 	defer s.recoverPanic()
 	reader := bufio.NewReader(stream)
@@ -146,7 +146,7 @@
 
 // serveCalls serves the calls of a stream one after the other. It reads the next head while a call runs, so that the
 // end of the stream cancels the call.
-func (s *Server) serveCalls(ctx context.Context, stream net.Conn, reader *bufio.Reader, first *wirepb.CallHead) {
+func (s *Server) serveCalls(ctx context.Context, stream *muxStream, reader *bufio.Reader, first *wirepb.CallHead) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	next := make(chan *wirepb.CallHead)
@@ -161,7 +161,7 @@
 	_ = stream.Close()
 }
 
-func (s *Server) readCalls(ctx context.Context, stream net.Conn, reader *bufio.Reader, next chan<- *wirepb.CallHead) {
+func (s *Server) readCalls(ctx context.Context, stream *muxStream, reader *bufio.Reader, next chan<- *wirepb.CallHead) {
 	for {
 		head := &wirepb.StreamHead{}
 		if err := frame.Read(reader, head, s.cfg.MaxHeadBytes); err != nil {
@@ -184,7 +184,8 @@
 
 // hasEnded reports whether the other node has closed a stream, as far as its bytes have arrived. A call and the end of its stream
 // arrive together if a link held them up; the caller of such a call left long ago.
-func hasEnded(stream net.Conn, reader *bufio.Reader) bool {
+func hasEnded(stream *muxStream, reader *bufio.Reader) bool {
+	stream.AwaitReceiver()
 	_ = stream.SetReadDeadline(time.Unix(0, 1))
 	_, err := reader.Peek(1)
 	_ = stream.SetReadDeadline(time.Time{})
