Judge a new version by the stable version's usual rate of slow calls, not by its mean

Cause, in the simulation: the stable version is slow, too, while nodes are down, and the rate of slow calls over the whole window of 30 s went on excusing the new version when the disturbance was over (19%, of which the tolerable rate is 1.5 times and the faulty one 4.5 times). Now the rate of the median second counts, weighted by calls.

Ruled out in the same simulation: counts lost with the killed nodes, a missing baseline. Tried and not taken: the lowest quarter of the seconds (1 of 800 good versions rejected), thresholds that fall later (little gained).

--- a/internal/move/baseline.go
+++ b/internal/move/baseline.go
@@ -1,6 +1,8 @@
 package move
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +29,25 @@
 	return sum
 }
 
+// usualSlowRate returns the rate of slow calls of the stable version in a usual second, the median weighted by calls, or the last known one
+// once there are too few calls. The rate over all calls would go on showing a disturbance that is over, and would hide that the new
+// version is slow.
+func (r *routeView) usualSlowRate(known *wirepb.RouteBaseline) float64 {
+	sum := r.from.sum()
+	if sum.calls < minBaselineCalls && known != nil {
+		return known.GetSlowRate()
+	}
+	seconds := slices.DeleteFunc(slices.Collect(maps.Values(r.from)), func(c counts) bool { return c.warm == 0 })
+	slices.SortFunc(seconds, func(a, b counts) int { return cmp.Compare(a.slowRate(), b.slowRate()) })
+	below := 0.0
+	for _, c := range seconds {
+		if below += c.warm; below >= sum.warm/2 {
+			return c.slowRate()
+		}
+	}
+	return 0
+}
+
 func countsFromBaseline(known *wirepb.RouteBaseline) counts {
 	calls := float64(known.GetCalls())
 	sheds := calls * known.GetShedRate()
@@ -53,7 +74,7 @@
 	}
 	baseline := &wirepb.RouteBaseline{
 		Route: name, Calls: uint32(sum.calls), FailureRate: sum.failureRate(),
-		ShedRate: sum.shedRate(), SlowRate: sum.slowRate(), Slow: known.GetSlow(), SlowIfCutOff: known.GetSlowIfCutOff(),
+		ShedRate: sum.shedRate(), SlowRate: r.usualSlowRate(nil), Slow: known.GetSlow(), SlowIfCutOff: known.GetSlowIfCutOff(),
 		ColdStart: longerDuration(known.GetColdStart(), r.coldStart),
 	}
 	// The thresholds then stay the same for the whole move, so that a slowdown of both versions is counted for both.
--- a/internal/move/compare.go
+++ b/internal/move/compare.go
@@ -54,9 +54,9 @@
 // evidenceBySecond compares the new version with the stable one in the same seconds, so that a fault of both is not counted against
 // the new one.
 func (r *routeView) evidenceBySecond(known *wirepb.RouteBaseline) map[int64]faultEvidence {
-	overall, evidence := r.baselineCounts(known), map[int64]faultEvidence{}
+	overall, usualSlowRate, evidence := r.baselineCounts(known), r.usualSlowRate(known), map[int64]faultEvidence{}
 	for second, c := range r.to {
-		evidence[second] = compareCounts(c, r.baselineInSecond(second, overall))
+		evidence[second] = compareCounts(c, r.baselineInSecond(second, overall, usualSlowRate))
 	}
 	return evidence
 }
@@ -78,14 +78,15 @@
 // second, or the overall ones if it had too few calls then. The control group gets calls in the same bursts as the new
 // version, but may be small. So the rates of the stable version's calls in this second and the ones before and after replace
 // lower ones, since a disturbance may begin or end within a second.
-func (r *routeView) baselineInSecond(second int64, overall counts) counts {
-	baseline, usual := r.from[second], overall.slowRate()
+func (r *routeView) baselineInSecond(second int64, overall counts, usual float64) counts {
+	baseline := r.from[second]
 	if control := r.control[second]; control.calls >= minSecondCalls {
 		baseline = control.withPessimisticRates()
 	}
 	baseline = baseline.withUsualSlowRate(usual)
 	if baseline.calls < minSecondCalls {
 		baseline = overall
+		baseline.slow = overall.warm * usual
 	}
 	for s := second - 1; s <= second+1; s++ {
 		if neighbour := r.from[s]; neighbour.calls >= minSecondCalls {
--- a/internal/move/exposure_test.go
+++ b/internal/move/exposure_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// Guards against a slow version that goes on to its full share because the stable version was slow, too, for a moment in which nodes
+// restarted (EXPOSURE beside a herd kill).
+func TestSlowVersionIsRejectedBesideRestarts(t *testing.T) {
+	const seeds = 40
+	for name, routes := range simulatedServices {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seeds) {
+				result := simulation{routes: routes, slowFactor: 8, coldDuration: 2 * time.Second, announcesCold: true, restarts: 0.6, seed: seed}.run()
+				allowed := maxExposureFraction*float64(result.calls) + maxExposureSlack
+				require.LessOrEqual(t, float64(result.newCalls), allowed, "seed %d: of %d calls; state %s, share %d, rejected %q",
+					seed, result.calls, result.record.GetState(), result.record.GetSharePermille(), result.rejected)
+			}
+		})
+	}
+}
+
 // Guards against a rule for slow versions that rejects or delays good ones, whose upstreams are cold at first.
 func TestGoodVersionMovesByTheDeadline(t *testing.T) {
 	for name, routes := range simulatedServices {
--- a/internal/move/simulate_test.go
+++ b/internal/move/simulate_test.go
@@ -36,7 +36,10 @@
 	coldDuration time.Duration
 	// announcesCold says whether upstreams announce how long they will be cold.
 	announcesCold bool
-	seed          uint64
+	// restarts is the fraction of the nodes that are killed restartDelay after the order; they are back after restartDuration. The load on
+	// the others makes the stable version slower by disturbedFactor meanwhile.
+	restarts float64
+	seed     uint64
 }
 
 // simulationResult is what became of the simulated move at its deadline.
@@ -53,6 +56,9 @@
 	simulatedDeadline = 12 * time.Second
 	latencySpread     = 0.5
 	upstreamCount     = 3
+	restartDelay      = 500 * time.Millisecond
+	restartDuration   = 1500 * time.Millisecond
+	disturbedFactor   = 4
 )
 
 // simulatedNode is a node with one upstream.
@@ -62,6 +68,7 @@
 	speed       float64
 	monitor     *Monitor
 	firstCallAt time.Time
+	down        bool
 }
 
 type simulatedEvent struct {
@@ -115,10 +122,7 @@
 		if i >= upstreamCount {
 			node.version, node.speed = "v2", m.nodes[i-upstreamCount].speed*(0.9+0.2*m.random.Float64())
 		}
-		node.monitor = NewMonitor(MonitorConfig{
-			Now: func() time.Time { return m.now }, OnAlarm: func(string) {},
-			State: func() *tree.State { return &tree.State{Services: map[string]*tree.Service{"shop": m.service}} },
-		})
+		node.monitor = m.newMonitor()
 		m.nodes = append(m.nodes, node)
 	}
 	for _, r := range s.routes {
@@ -128,6 +132,9 @@
 		m.service = &tree.Service{Name: "shop", StableVersion: "v1", ColdStart: -1, MoveRecord: record}
 		m.tracker = controller.trackerFor("shop", record.GetDeclaredRevision())
 	})
+	if s.restarts > 0 {
+		m.schedule(declaredAt.Add(restartDelay), func() { m.restart(controller) })
+	}
 	for at := declaredAt.Add(tickInterval); at.Before(declaredAt.Add(simulatedDeadline)); at = at.Add(tickInterval) {
 		m.schedule(at, m.decide)
 	}
@@ -143,6 +150,57 @@
 	return m.result
 }
 
+func (m *simulator) newMonitor() *Monitor {
+	return NewMonitor(MonitorConfig{
+		Now: func() time.Time { return m.now }, OnAlarm: func(string) {},
+		State: func() *tree.State { return &tree.State{Services: map[string]*tree.Service{"shop": m.service}} },
+	})
+}
+
+// restart kills nodes, and with the same probability the decider, which then knows nothing of the move.
+func (m *simulator) restart(controller *Controller) {
+	for _, n := range m.nodes {
+		if m.random.Float64() < m.restarts {
+			n.down = true
+		}
+	}
+	if m.random.Float64() < m.restarts {
+		delete(controller.trackers, "shop")
+		m.tracker = controller.trackerFor("shop", m.service.MoveRecord.GetDeclaredRevision())
+	}
+	m.schedule(m.now.Add(restartDuration), func() {
+		for _, n := range m.nodes {
+			if n.down {
+				n.down, n.monitor, n.firstCallAt = false, m.newMonitor(), time.Time{}
+			}
+		}
+	})
+}
+
+// upNode returns a random node of a version that is up, or nil.
+func (m *simulator) upNode(version string) *simulatedNode {
+	var up []*simulatedNode
+	for _, n := range m.nodes {
+		if n.version == version && !n.down {
+			up = append(up, n)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[m.random.IntN(len(up))]
+}
+
+// isDisturbed reports whether nodes are down.
+func (m *simulator) isDisturbed() bool {
+	for _, n := range m.nodes {
+		if n.down {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *simulator) schedule(at time.Time, run func()) {
 	heap.Push(&m.events, simulatedEvent{at: at, run: run})
 }
@@ -158,17 +216,25 @@
 // call runs one call on a random upstream of the version that it is assigned to.
 func (m *simulator) call(r simulatedRoute) {
 	group := m.verdicts.AssignGroup(m.service, m.now)
-	node := m.nodes[m.random.IntN(upstreamCount)]
+	node := m.upNode("v1")
 	if m.service.MoveRecord != nil {
 		m.result.calls++
 		if group == GroupNew {
-			node = m.nodes[upstreamCount+m.random.IntN(upstreamCount)]
+			node = m.upNode("v2")
 		}
 	}
+	if node == nil {
+		return
+	}
 	if group == GroupNew && CheckExposure(m.service, local.Exposure{Version: "v2"}, m.verdicts, node.monitor.Alarmed("shop")) != wirepb.Refusal_REFUSAL_UNSPECIFIED {
-		node = m.nodes[m.random.IntN(upstreamCount)]
+		if node = m.upNode("v1"); node == nil {
+			return
+		}
 	}
 	latency, limit := time.Duration(float64(r.median)/node.speed*math.Exp(latencySpread*m.random.NormFloat64())), r.timeout
+	if m.isDisturbed() {
+		latency *= disturbedFactor
+	}
 	if node.version == "v2" {
 		m.result.newCalls++
 		if m.random.IntN(2) == 0 {
@@ -192,8 +258,13 @@
 	if latency > limit {
 		o.Result = local.ResultAbandoned
 	}
-	end := node.monitor.Observe(o)
-	m.schedule(m.now.Add(o.Latency), func() { end(o) })
+	monitor := node.monitor
+	end := monitor.Observe(o)
+	m.schedule(m.now.Add(o.Latency), func() {
+		if node.monitor == monitor && !node.down {
+			end(o)
+		}
+	})
 }
 
 // decide collects the reports of all nodes, rejects the version if the evidence suffices, and takes the next step otherwise.
@@ -203,7 +274,9 @@
 		return
 	}
 	for _, n := range m.nodes {
-		m.tracker.addReport(n.monitor.Report(n.name, m.service), m.now)
+		if !n.down {
+			m.tracker.addReport(n.monitor.Report(n.name, m.service), m.now)
+		}
 	}
 	current := m.tracker.view(record, m.now)
 	baselines := current.baselines(record, m.tracker.baselines)
