Read the configuration after its age, and the revision of a beat after its age

Two races of the ages, found by reading the change as a newcomer would. A request took its state first and the age afterwards: a node that had been out of touch could answer 404 by the old state with the age of the new one. A beat took its revision first: a child without the change that came in between took itself for current. Both now read the age first. And a connection whose wait for a request had timed out counted for a moment as one with a request, which a stop could log as cut off.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -157,17 +157,26 @@
 		if err != nil && !timedOut {
 			return err
 		}
+		if timedOut && !c.hasArrived() {
+			return err
+		}
 		c.beginReading(headerTimeout)
-		if !timedOut {
+		if err == nil {
 			return nil
 		}
-		if probe.Look(c.netConn) != probe.Readable {
-			return err
-		}
 	}
 }
 
-// beginReading gives the next request timeout to arrive.
+// hasArrived reports whether a request waits to be read although the wait for it has timed out.
+func (c *conn) hasArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// probe.Look fails on a connection whose deadline is over.
+	_ = c.netConn.SetReadDeadline(time.Time{})
+	return probe.Look(c.netConn) == probe.Readable
+}
+
+// beginReading gives a request that has begun to arrive timeout to arrive in full.
 func (c *conn) beginReading(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/relay/age_test.go
+++ b/internal/relay/age_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/oplog"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -123,6 +124,24 @@
 	return beats
 }
 
+// Guards against a beat whose age speaks of changes that its revision leaves out, so that a child without them takes itself for current.
+func TestRevisionOfABeatCoversItsAge(t *testing.T) {
+	h := newHub()
+	h.currentAt = time.Now()
+	calls := 0
+	h.cfg.Now = func() time.Time {
+		// The first call is for the depth, the others are for the age.
+		if calls++; calls > 1 {
+			h.cfg.Log.ApplyChanges([]*wirepb.Change{newChange(1)}, oplog.Origin{})
+		}
+		return time.Now()
+	}
+	child, remote := newLink(t, h, "child")
+	beats := receiveBeats(remote)
+	require.NoError(t, child.sendBeat())
+	require.Equal(t, uint64(1), (<-beats).GetRevision())
+}
+
 // Guards against nodes that read the platform all the time because beats come later than the age allows.
 func TestNodesInTouchDoNotReadThePlatform(t *testing.T) {
 	runVirtual(t, func(d *virtualDeployment) {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -241,8 +241,10 @@
 
 func (l *link) sendBeat() error {
 	l.sentDepth = l.hub.Depth()
+	// A revision that is read after the age has all changes that the age speaks of.
+	age := l.nextAge()
 	beat := &wirepb.LinkBeat{
-		Revision: l.hub.cfg.Log.State().Revision, Depth: uint32(l.sentDepth), Promoted: l.hub.promotionCandidate(), Age: l.nextAge(),
+		Revision: l.hub.cfg.Log.State().Revision, Depth: uint32(l.sentDepth), Promoted: l.hub.promotionCandidate(), Age: age,
 	}
 	if alternates := l.hub.alternates(l.node); !slices.Equal(alternates, l.sentAlternates) {
 		beat.Alternates, l.sentAlternates = alternates, alternates
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -122,16 +122,13 @@
 	}
 	route := state.MatchRoute(requestHost(r), requestPath(r))
 	if route == nil {
+		// A state that is read after its age is no older than that.
 		age := p.cfg.ConfigurationAge()
-		p.cfg.Logger.Info("request matches no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", requestHost(r)),
-			zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion),
-			zap.Duration("waited", waitedSince(p.cfg.ReceivedAt(r), started)), zap.Duration("age", age))
-		if age > maxDenialAge {
-			p.refuseRequest(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "out_of_touch", Detail: "this node may lack a newer configuration with a route for this path"})
+		state = p.cfg.State()
+		if route = state.MatchRoute(requestHost(r), requestPath(r)); route == nil {
+			p.refuseWithoutRoute(w, r, state, age, started)
 			return
 		}
-		p.refuseRequest(w, &RequestError{Status: http.StatusNotFound, Kind: "no_route", Detail: "no route has a prefix of this path"})
-		return
 	}
 	c, err := p.newCall(w, r, route, started)
 	if err != nil {
@@ -155,6 +152,19 @@
 	writeFailure(w, http.StatusServiceUnavailable, &wirepb.Failure{Kind: "stopping", Message: "this node stops", NotRun: true})
 }
 
+// refuseWithoutRoute refuses a request that matches no route of a state: with status 404 unless the state is so old that a newer one may
+// have a route for it.
+func (p *Proxy) refuseWithoutRoute(w http.ResponseWriter, r *http.Request, state *tree.State, age time.Duration, started time.Time) {
+	p.cfg.Logger.Info("request matches no route", zap.String("id", r.Header.Get(p.cfg.Headers.GetRequestId())), zap.String("host", requestHost(r)),
+		zap.String("path", requestPath(r)), zap.Uint64("revision", state.Revision), zap.Uint64("operator_config_version", state.OperatorConfigVersion),
+		zap.Duration("waited", waitedSince(p.cfg.ReceivedAt(r), started)), zap.Duration("age", age))
+	if age > maxDenialAge {
+		p.refuseRequest(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "out_of_touch", Detail: "this node may lack a newer configuration with a route for this path"})
+		return
+	}
+	p.refuseRequest(w, &RequestError{Status: http.StatusNotFound, Kind: "no_route", Detail: "no route has a prefix of this path"})
+}
+
 func (p *Proxy) refuseRequest(w http.ResponseWriter, failure *RequestError) {
 	p.cfg.OnInvalidRequest()
 	if failure.Status == http.StatusServiceUnavailable {
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -396,3 +396,18 @@
 	require.NotEmpty(t, refused.Header().Get("Retry-After"))
 	require.Equal(t, OutcomeNotRun, refused.Header().Get(HeaderOutcome))
 }
+
+// Guards against a 404 by a configuration that was read before its age: the change with the route came in between (CONFIG).
+func TestRouteThatComesWithTheAgeIsServed(t *testing.T) {
+	f := newFixture(t)
+	current, later := f.proxy.cfg.State(), tree.EmptyState()
+	later.Revision = current.Revision
+	f.proxy.cfg.State = func() *tree.State { return later }
+	f.proxy.cfg.ConfigurationAge = func() time.Duration {
+		later = current
+		return 0
+	}
+	w := httptest.NewRecorder()
+	f.proxy.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/read", http.NoBody))
+	require.Equal(t, http.StatusOK, w.Code)
+}
