--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -50,6 +50,17 @@
 	maxLinkMbps         = 1_000_000
 	bitsPerMegabit      = 1_000_000
 	minMemoryBytes      = 16 << 20
+	minMemoryLimitBytes = 64 << 20
+	minDescriptors      = 64
+	maxDescriptors      = 1 << 24
+	defaultColdOverage  = 1
+	maxColdOverage      = 100
+	defaultQuotaWindow  = 5 * time.Second
+	minQuotaWindow      = 100 * time.Millisecond
+	maxQuotaWindow      = 10 * time.Minute
+	maxQuotaOverage     = 10
+	maxQuotaSlack       = 1_000_000
+	defaultRevoke       = 5 * time.Second
 	maxMemoryBytes      = 1 << 40
 )
 
@@ -122,6 +133,20 @@
 	LeaveTime   time.Duration
 	// LinkBitsPerSecond is 0 if the link is not limited.
 	LinkBitsPerSecond float64
+	// ColdOverage is the number of calls per second that a cold upstream gets, in multiples of its service's rate.
+	ColdOverage float64
+	// QuotaWindow, QuotaOverage and QuotaSlack say by how much the calls of a workspace may exceed its quota.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   int
+	// StrictRevocation says that a node whose configuration is older than Revoke refuses requests that need a key.
+	StrictRevocation bool
+	Revoke           time.Duration
+	// MemoryLimitBytes is 0 if the memory of the process is not limited.
+	MemoryLimitBytes int64
+	// MaxDescriptors is 0 if only the operating system limits the file descriptors.
+	MaxDescriptors  int
+	AdmissionPolicy string
 }
 
 // WithGracePeriod returns the settings of a process that is killed when the grace period after SIGTERM ends: the stop timeout
@@ -223,6 +248,15 @@
 		LeaveTime:         c.durationText("leave_time", s.GetLeaveTime(), defaultLeaveTime, 0, time.Minute),
 		LinkBitsPerSecond: bitsPerMegabit * c.optionalFloat("link_mbps", s.GetLinkMbps(), minLinkMbps, maxLinkMbps),
 		MemoryBytes:       int64(c.number("memory_bytes", s.GetMemoryBytes(), 0, minMemoryBytes, maxMemoryBytes)),
+		ColdOverage:       c.floatOr("cold_overage", s.GetColdOverage(), defaultColdOverage, 1, maxColdOverage),
+		QuotaWindow:       c.durationText("quota_window", s.GetQuotaWindow(), defaultQuotaWindow, minQuotaWindow, maxQuotaWindow),
+		QuotaOverage:      c.optionalFloat("quota_overage", s.GetQuotaOverage(), 0, maxQuotaOverage),
+		QuotaSlack:        c.number("quota_slack", uint64(s.GetQuotaSlack()), 0, 0, maxQuotaSlack),
+		StrictRevocation:  s.GetStrictRevocation(),
+		Revoke:            c.durationText("revoke", s.GetRevoke(), defaultRevoke, minQuotaWindow, maxQuotaWindow),
+		MemoryLimitBytes:  int64(c.number("memory_limit_bytes", s.GetMemoryLimitBytes(), 0, minMemoryLimitBytes, maxMemoryBytes)),
+		MaxDescriptors:    c.number("max_descriptors", uint64(s.GetMaxDescriptors()), 0, minDescriptors, maxDescriptors),
+		AdmissionPolicy:   c.oneOf("admission_policy", s.GetAdmissionPolicy(), "arrival", "least_loss"),
 	}
 }
 
@@ -279,6 +313,14 @@
 	return value
 }
 
+// floatOr returns fallback for a number that is not set.
+func (c *checker) floatOr(field string, value, fallback, low, high float64) float64 {
+	if value == 0 {
+		return fallback
+	}
+	return c.optionalFloat(field, value, low, high)
+}
+
 func (c *checker) fail(field, value, allowed string) {
 	if c.failure == nil {
 		c.failure = &ValueError{File: c.file, Field: field, Value: value, Allowed: allowed}
