--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -128,7 +128,7 @@
 	RetryRatio       float64
 	RetryReserve     int
 	// RetrySlack is 0 if only RetryReserve bounds the retries beyond RetryRatio.
-	RetrySlack  int
+	RetrySlack  float64
 	MemoryBytes int64
 	LeaveTime   time.Duration
 	// LinkBitsPerSecond is 0 if the link is not limited.
@@ -138,7 +138,7 @@
 	// QuotaWindow, QuotaOverage and QuotaSlack say by how much the calls of a workspace may exceed its quota.
 	QuotaWindow  time.Duration
 	QuotaOverage float64
-	QuotaSlack   int
+	QuotaSlack   float64
 	// StrictRevocation says that a node whose configuration is older than Revoke refuses requests that need a key.
 	StrictRevocation bool
 	Revoke           time.Duration
@@ -244,14 +244,14 @@
 		Service:           s.GetService(),
 		RetryRatio:        c.ratio("retry_ratio", s.GetRetryRatio(), route.DefaultRetryRatio),
 		RetryReserve:      c.number("retry_reserve", uint64(s.GetRetryReserve()), route.DefaultRetryReserve, 1, maxRetryReserve),
-		RetrySlack:        c.number("retry_slack", uint64(s.GetRetrySlack()), 0, 1, maxRetrySlack),
+		RetrySlack:        c.optionalFloat("retry_slack", s.GetRetrySlack(), 1, maxRetrySlack),
 		LeaveTime:         c.durationText("leave_time", s.GetLeaveTime(), defaultLeaveTime, 0, time.Minute),
 		LinkBitsPerSecond: bitsPerMegabit * c.optionalFloat("link_mbps", s.GetLinkMbps(), minLinkMbps, maxLinkMbps),
 		MemoryBytes:       int64(c.number("memory_bytes", s.GetMemoryBytes(), 0, minMemoryBytes, maxMemoryBytes)),
 		ColdOverage:       c.floatOr("cold_overage", s.GetColdOverage(), defaultColdOverage, 1, maxColdOverage),
 		QuotaWindow:       c.durationText("quota_window", s.GetQuotaWindow(), defaultQuotaWindow, minQuotaWindow, maxQuotaWindow),
 		QuotaOverage:      c.optionalFloat("quota_overage", s.GetQuotaOverage(), 0, maxQuotaOverage),
-		QuotaSlack:        c.number("quota_slack", uint64(s.GetQuotaSlack()), 0, 0, maxQuotaSlack),
+		QuotaSlack:        c.optionalFloat("quota_slack", s.GetQuotaSlack(), 0, maxQuotaSlack),
 		StrictRevocation:  s.GetStrictRevocation(),
 		Revoke:            c.durationText("revoke", s.GetRevoke(), defaultRevoke, minQuotaWindow, maxQuotaWindow),
 		MemoryLimitBytes:  int64(c.number("memory_limit_bytes", s.GetMemoryLimitBytes(), 0, minMemoryLimitBytes, maxMemoryBytes)),
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -23,6 +23,14 @@
 	require.Equal(t, "evidence", settings.MovePolicy)
 }
 
+// Guards against nodes that do not start: a platform that scales a deployment's bounds may give fractions.
+func TestFractionalSlack(t *testing.T) {
+	settings, err := Parse("f", []byte(strings.Replace(validSettings, `"region"`, `"retry_slack": 37.25, "quota_slack": 4.5, "region"`, 1)))
+	require.NoError(t, err)
+	require.InDelta(t, 37.25, settings.RetrySlack, 0)
+	require.InDelta(t, 4.5, settings.QuotaSlack, 0)
+}
+
 func TestInvalidSettingsNameFileAndField(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -37,6 +45,10 @@
 		{"duration", `"region"`, `"stop_timeout": "660s", "region"`, "stop_timeout"},
 		{"policy", `"region"`, `"move_policy": "dice", "region"`, "move_policy"},
 		{"hash", `"region"`, `"admin_token_sha256": "12", "region"`, "admin_token_sha256"},
+		{"cold overage", `"region"`, `"cold_overage": 0.5, "region"`, "cold_overage"},
+		{"quota window", `"region"`, `"quota_window": "1ms", "region"`, "quota_window"},
+		{"memory limit", `"region"`, `"memory_limit_bytes": 1000, "region"`, "memory_limit_bytes"},
+		{"admission policy", `"region"`, `"admission_policy": "random", "region"`, "admission_policy"},
 		{"seeds", `"region"`, `"seeds": ["nowhere"], "region"`, "seeds"},
 	}
 	for _, tt := range tests {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -205,7 +205,7 @@
 	return route.New(route.Config{
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
 		RetryBudget: route.RetryBudgetConfig{
-			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: float64(s.RetrySlack), CountNodes: members.LiveCount, Now: now,
+			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: s.RetrySlack, CountNodes: members.LiveCount, Now: now,
 		},
 		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims,
 		Observe: metrics.ObserveCall, OnInvalidRequest: func() { metrics.CountInvalidInput("caller") }, OnRetry: metrics.CountRetry,
