--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -43,6 +43,8 @@
 	PastObjective bool
 	// RespondBy is the time by which the upstream must respond, or zero for the call's deadline.
 	RespondBy time.Time
+	// Cold is the limit of the upstream's cold start, which a Pacer applies.
+	Cold ColdLimit
 }
 
 // rank orders the queues by class, and within a class puts calls past their objective last.
--- a/internal/admit/pacer.go
+++ b/internal/admit/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 	Unknown bool
 }
 
-// Pacer keeps the rate of calls to one upstream within the limit that the upstream names in its responses. All calls to an upstream
+// Pacer keeps the rate of calls to one upstream within the limit that the upstream names in its responses, and within that of its
+// service while it is cold. All calls to an upstream
 // pass through the node beside it, so that no other node needs to know the limit.
 type Pacer struct {
 	cfg PacerConfig
@@ -42,11 +44,23 @@
 	perSecond float64
 	// namedAt is when the newest response that names a limit arrived.
 	namedAt time.Time
+	// sent holds the newest calls, for the limit of cold starts.
+	sent window
 }
 
 // NewPacer returns a pacer without a limit.
 func NewPacer(cfg PacerConfig) *Pacer { return &Pacer{cfg: cfg, unknown: cfg.Unknown} }
 
+// CountCallsOf counts the calls that another pacer sent, since the upstream that this one is for may have got them.
+func (p *Pacer) CountCallsOf(previous *Pacer) {
+	previous.mu.Lock()
+	sent := window{sent: slices.Clone(previous.sent.sent), next: previous.sent.next, newest: previous.sent.newest}
+	previous.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent = sent
+}
+
 // ObserveLimit applies the limit, in calls per second, that the response to a call names, and reports whether it changed. A response
 // without one ends the limit if its call started after the limit was named; it may have been sent before otherwise.
 func (p *Pacer) ObserveLimit(perSecond float64, named bool, started time.Time) bool {
@@ -97,13 +111,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delay := p.delay(request, running-1)
-	if delay == 0 && p.limiter != nil {
+	if delay > 0 {
+		return delay
+	}
+	if p.limiter != nil {
 		p.limiter.AllowN(p.cfg.Now(), 1)
 	}
-	return delay
+	p.sent.add(request.Cold, p.cfg.Now())
+	return 0
 }
 
 func (p *Pacer) delay(request Request, running int) time.Duration {
+	return max(p.namedLimitDelay(request, running), p.sent.delay(request.Cold, p.cfg.Now()))
+}
+
+// namedLimitDelay returns how long it takes until the limit that the upstream named allows a call.
+func (p *Pacer) namedLimitDelay(request Request, running int) time.Duration {
 	switch {
 	case p.limiter == nil && p.unknown && running >= maxUnknownInFlight:
 		return unknownRetryDelay
--- a/internal/admit/pacer_test.go
+++ b/internal/admit/pacer_test.go
@@ -1,6 +1,9 @@
 package admit
 
 import (
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,3 +144,63 @@
 	now = now.Add(p.Delay(low, 0))
 	require.Zero(t, p.Take(low, 1), "a call may be sent after the delay that was told")
 }
+
+// Guards against a cold upstream getting more calls in a second than its limit allows and so many as may be in flight, although calls
+// arrive later than they are sent.
+func TestColdLimitIsKeptDespiteDelays(t *testing.T) {
+	const maxDelay = 250 * time.Millisecond
+	for _, perSecond := range []float64{0.5, 1, 3, 19.5, 300} {
+		random := rand.New(rand.NewPCG(1, uint64(perSecond)))
+		now := pacerStart
+		p := NewPacer(PacerConfig{Now: func() time.Time { return now }})
+		request := Request{Class: wirepb.Class_CLASS_NORMAL, Cold: ColdLimit{PerSecond: perSecond, Cold: true}}
+		var sent, arrived []time.Time
+		for ; now.Before(pacerStart.Add(offerDuration)); now = now.Add(time.Duration(random.Int64N(int64(20 * time.Millisecond)))) {
+			for range 1 + random.IntN(40) {
+				delay := p.Delay(request, 0)
+				require.Equal(t, delay, p.Take(request, 1))
+				if delay == 0 {
+					sent = append(sent, now)
+					arrived = append(arrived, now.Add(time.Duration(random.Int64N(int64(maxDelay)))))
+				}
+			}
+		}
+		slices.SortFunc(arrived, time.Time.Compare)
+		allowed := max(1, int(perSecond))
+		require.LessOrEqual(t, maxInWindow(sent, time.Second), allowed, "%g per second, sent", perSecond)
+		require.LessOrEqual(t, maxInWindow(arrived, time.Second), allowed+(allowed+3)/4, "%g per second, arrived", perSecond)
+		require.GreaterOrEqual(t, float64(len(sent)), 0.9*math.Floor(perSecond)*offerDuration.Seconds(), "%g per second: the limit is used", perSecond)
+	}
+}
+
+// A limit that is declared or raised while calls are being sent counts those that were not counted as if they had just been sent.
+func TestColdLimitThatChanges(t *testing.T) {
+	now := pacerStart
+	p := NewPacer(PacerConfig{Now: func() time.Time { return now }})
+	take := func(perSecond float64, cold bool) time.Duration {
+		return p.Take(Request{Cold: ColdLimit{PerSecond: perSecond, Cold: cold}}, 1)
+	}
+	require.Zero(t, take(10, true), "no calls before")
+	now = now.Add(time.Minute)
+	require.Zero(t, take(0, true), "no limit")
+	require.Positive(t, take(2, true), "declared after a call")
+	now = now.Add(time.Second)
+	require.Zero(t, take(2, false))
+	require.Zero(t, take(2, false))
+	require.Positive(t, take(30, true), "raised")
+	now = now.Add(time.Second)
+	require.Zero(t, take(30, true))
+	require.Positive(t, take(1, true), "lowered")
+}
+
+// maxInWindow returns the greatest number of times in a window; the times are in order.
+func maxInWindow(times []time.Time, width time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= width {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,8 +61,9 @@
 		return notRunAnswer(head, refusal)
 	}
 	admission := newAdmitRequest(head, arrived)
+	admission.Cold = r.currentColdLimit(u)
 	if delay := u.pacer.Delay(admission, u.limiter.Running()); delay > 0 {
-		return pacedAnswer(head, u, delay)
+		return r.pacedAnswer(head, u, admission, delay)
 	}
 	if err := u.limiter.Acquire(ctx, admission); err != nil {
 		return refusedAnswer(head, u, err)
@@ -71,9 +73,11 @@
 		u.limiter.Cancel()
 		return notRunAnswer(head, wirepb.Refusal_REFUSAL_EXPIRED)
 	}
+	// The upstream may have become cold while the call waited.
+	admission.Cold = r.currentColdLimit(u)
 	if delay := u.pacer.Take(admission, u.limiter.Running()); delay > 0 {
 		u.limiter.Cancel()
-		return pacedAnswer(head, u, delay)
+		return r.pacedAnswer(head, u, admission, delay)
 	}
 	started := r.cfg.Now()
 	if head.GetTimeLeft() != nil {
@@ -83,6 +87,9 @@
 	endRun, endObservation := r.startRun(head.GetRepeated()), r.cfg.Observe(observation)
 	answer, result, header := u.forward(ctx, head, r.cfg.MaxBodyBytes)
 	r.applyNotices(u, header, started)
+	if u.connectionRefused.Swap(false) {
+		r.assumeCold(u)
+	}
 	endRun()
 	took := r.cfg.Now().Sub(started)
 	answer.DependencyFailed = result == ResultFailed && r.dependencyFailed(u.service, started)
@@ -169,7 +176,10 @@
 }
 
 // pacedAnswer refuses a call that the limit of an upstream does not allow now.
-func pacedAnswer(head *wirepb.CallHead, u *upstream, delay time.Duration) *wirepb.AnswerHead {
+func (r *Registry) pacedAnswer(head *wirepb.CallHead, u *upstream, admission admit.Request, delay time.Duration) *wirepb.AnswerHead {
+	if admission.Cold.Cold {
+		r.ColdRefusals.Add(1)
+	}
 	answer := notRunAnswer(head, wirepb.Refusal_REFUSAL_OVERLOADED)
 	answer.LoadPermille, answer.AvailableIn = u.limiter.LoadPermille(), durationpb.New(delay)
 	return answer
@@ -271,6 +281,7 @@
 func (u *upstream) classifyError(ctx context.Context, head *wirepb.CallHead, err error) (*wirepb.AnswerHead, Result) {
 	var connectErr *ConnectError
 	if errors.As(err, &connectErr) {
+		u.connectionRefused.Store(errors.Is(connectErr, syscall.ECONNREFUSED))
 		return notRunAnswer(head, wirepb.Refusal_REFUSAL_UNREACHABLE), ResultInconclusive
 	}
 	answer := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error(), Arrived: true}
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -88,6 +88,9 @@
 	AnnounceInterval time.Duration
 	// CheckExposure returns why an upstream may not get a further call now, or REFUSAL_UNSPECIFIED if it may.
 	CheckExposure func(exposure Exposure) wirepb.Refusal
+	// ColdLimit returns how many calls a second an upstream of a service may get while it is cold, or zero if they are not limited; nil
+	// means that no service limits them.
+	ColdLimit func(service string) float64
 	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
 	// call ends.
 	Observe func(started Observation) (end func(ended Observation))
@@ -122,6 +125,8 @@
 	// running and runningRepeated are the numbers of calls that the upstreams run, and of those among them that are repeated.
 	running         atomic.Int64
 	runningRepeated atomic.Int64
+	// ColdRefusals is the number of calls refused because of the limit of a cold upstream.
+	ColdRefusals atomic.Int64
 }
 
 // New returns an empty registry.
@@ -132,6 +137,9 @@
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
+	if cfg.ColdLimit == nil {
+		cfg.ColdLimit = func(string) float64 { return 0 }
+	}
 	cfg.bodies, cfg.startedAt = &bodyBudget{}, cfg.Now()
 	return &Registry{
 		cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, outboundFailures: map[string]time.Time{},
@@ -183,10 +191,11 @@
 	if found && known.describedBy(a) && !known.leaving {
 		known.lastAnnounced, known.sequence = r.cfg.Now(), a.GetSequence()
 		known.updateWarmAt(a, r.cfg.Now())
+		known.coldness.report(a, r.cfg.Now())
 		if a.GetLeaving() {
 			return true, r.depart(known, "leaving")
 		}
-		return false, nil
+		return r.coldnessChanged(), nil
 	}
 	if a.GetLeaving() && !departedBefore && a.GetStarted() != nil {
 		// An earlier announcement that arrives later must not make it accept calls.
@@ -203,7 +212,11 @@
 		known.limiter.Close()
 		known.close()
 	}
-	r.upstreams[address] = newUpstream(address, a, r.cfg)
+	u := newUpstream(address, a, r.cfg)
+	if found {
+		u.pacer.CountCallsOf(known.pacer)
+	}
+	r.upstreams[address] = u
 	r.cfg.Logger.Info("upstream registered", zap.String("service", a.GetService()), zap.String("version", a.GetVersion()), zap.Stringer("address", address),
 		zap.Duration("cold_left", a.GetColdLeft().AsDuration()))
 	return true, nil
@@ -255,7 +268,8 @@
 	var list []*wirepb.MemberUpstream
 	for _, u := range r.upstreams {
 		if !u.leaving && !r.stopping {
-			list = append(list, &wirepb.MemberUpstream{Service: u.service, Version: u.version, Slots: u.slots})
+			r.publishColdness(u)
+			list = append(list, &wirepb.MemberUpstream{Service: u.service, Version: u.version, Slots: u.slots, Cold: u.published})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
--- a/internal/local/status.go
+++ b/internal/local/status.go
@@ -15,6 +15,7 @@
 		list = append(list, &wirepb.UpstreamStatus{
 			Service: u.service, Version: u.version, Address: u.address.String(),
 			Slots: u.slots, InFlight: uint32(u.limiter.Running()), Leaving: u.leaving, Limit: u.limit(),
+			Cold: r.coldLimit(u).Cold,
 		})
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].GetAddress() < list[j].GetAddress() })
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -19,7 +19,8 @@
 	maxFreshUptime = 10 * time.Second
 )
 
-// upstream is one local upstream. The mutex of the registry guards sequence, leaving, silent, leftAt, lastAnnounced and warmAt.
+// upstream is one local upstream. The mutex of the registry guards sequence, leaving, silent, leftAt, lastAnnounced,
+// warmAt, coldness and published.
 type upstream struct {
 	// id is empty for an upstream that does not announce one.
 	id string
@@ -38,6 +39,9 @@
 	lastAnnounced time.Time
 	// warmAt is when the cold start ends as announced; it is zero while no announcement has said so.
 	warmAt time.Time
+	// coldness is whether the upstream is in a cold start now, and published what the callers' nodes were told of it.
+	coldness  coldness
+	published bool
 
 	// firstCallSeen means that the upstream had run no call before its first announcement to this node.
 	firstCallSeen bool
@@ -49,6 +53,8 @@
 	firstCallNanos atomic.Int64
 	// lastCrashNanos is the Unix time of the newest counted crash in nanoseconds.
 	lastCrashNanos atomic.Int64
+	// connectionRefused says that nothing listened at the upstream's address in a call that has not ended yet.
+	connectionRefused atomic.Bool
 }
 
 func newUpstream(address netip.AddrPort, a *wirepb.Announcement, cfg Config) *upstream {
@@ -69,6 +75,7 @@
 		u.started = a.GetStarted().AsTime()
 	}
 	u.updateWarmAt(a, cfg.Now())
+	u.coldness.report(a, cfg.Now())
 	return u
 }
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -167,6 +167,12 @@
 			}
 			return move.CheckExposure(log.State().Services[exposure.Service], exposure, verdicts, monitor.Alarmed(exposure.Service))
 		},
+		ColdLimit: func(service string) float64 {
+			if declared, found := log.State().Services[service]; found {
+				return declared.ColdRate * s.ColdOverage
+			}
+			return 0
+		},
 		RecordDeparture: departures.Record, LoadDepartures: departures.Load,
 		OnUpstreamsChange: func(upstreams []*wirepb.MemberUpstream) {
 			members.UpdateSelf(func(record *wirepb.MemberRecord) { record.Upstreams = upstreams })
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -103,6 +103,8 @@
 	m.RegisterCounter("platform_writes_total", "Writes to the platform.", nil, func() float64 { return float64(n.store.Counters.Writes.Load()) })
 	m.RegisterCounter("platform_failures_total", "Operations that did not reach the platform.", nil, func() float64 { return float64(n.store.Counters.Failures.Load()) })
 	m.RegisterCounter("peer_refused_total", "Sessions and streams of nodes refused for their form.", nil, func() float64 { return float64(n.peerServer.Rejected.Load()) })
+	m.RegisterGauge("cold_upstreams", "Local upstreams in a cold start that limits their calls.", func() float64 { return float64(n.localRegistry.ColdUpstreams()) })
+	m.RegisterCounter("cold_refused_total", "Calls refused because of the limit of a cold upstream.", nil, func() float64 { return float64(n.localRegistry.ColdRefusals.Load()) })
 	for kind, name := range relay.FrameKindNames {
 		labels := map[string]string{"kind": name}
 		m.RegisterCounter("control_sent_bytes_total", "Bytes of link messages sent, by kind.", labels, func() float64 { return float64(n.hub.Counters.SentBytes[kind].Load()) })
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -16,6 +16,8 @@
 	Team string
 	// ColdStart is how long an upstream may be slow after its first call; it is negative if not declared.
 	ColdStart time.Duration
+	// ColdRate is the number of calls per second that one upstream takes in its cold start, or 0 if they are not limited.
+	ColdRate float64
 	// StableVersion is the version that takes the calls outside the share of a move.
 	StableVersion string
 	// AnyVersion says that no version is declared: every version that upstreams announce takes calls, except as a move directs.
--- a/internal/tree/subtree.go
+++ b/internal/tree/subtree.go
@@ -110,7 +110,7 @@
 		case *wirepb.ServiceSetting:
 			t.services[e.path.Name] = &Service{
 				Name: e.path.Name, Team: e.path.Team, StableVersion: v.GetVersion(), AnyVersion: v.GetVersion() == "",
-				ColdStart: durationOr(v.GetColdStart(), undeclaredColdStart),
+				ColdStart: durationOr(v.GetColdStart(), undeclaredColdStart), ColdRate: v.GetColdRate(),
 			}
 		}
 	}
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -65,6 +65,8 @@
 		{"no version", "shop", set(shopService, `{}`), &value},
 		{"version changed without a move", "shop", set(shopService, `{"version": "v2"}`), &value},
 		{"cold start too long", "shop", set(shopService, `{"version": "v1", "cold_start": "660s"}`), &value},
+		{"cold rate below zero", "shop", set(shopService, `{"version": "v1", "cold_rate": -1}`), &value},
+		{"cold rate not a number", "shop", set(shopService, `{"version": "v1", "cold_rate": "NaN"}`), &value},
 		{"route to a missing service", "shop", set(browseRoute, `{"path_prefix": "/shop", "service": "gone"}`), &value},
 		{"route to another team's service", "shop", set(browseRoute, `{"path_prefix": "/shop", "service": "dials"}`), &value},
 		{"route under another team's prefix", "shop", set(browseRoute, `{"path_prefix": "/dials/mine", "service": "shop"}`), &value},
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -19,6 +19,7 @@
 	maxTokens            = 8
 	tokenHashBytes       = 32
 	maxColdStartDuration = 10 * time.Minute
+	maxColdRate          = 100_000
 	minTimeout           = 10 * time.Millisecond
 	maxTimeout           = 5 * time.Minute
 	minWatchDuration     = time.Second
@@ -114,6 +115,9 @@
 	if failure := checkVersion(m.GetVersion()); failure != nil && m.GetVersion() != "" {
 		return failure
 	}
+	if rate := m.GetColdRate(); !(rate >= 0 && rate <= maxColdRate) {
+		return &ValueError{Field: "cold_rate", Value: strconv.FormatFloat(rate, 'g', -1, 64), Allowed: "0 to 100000"}
+	}
 	return checkDuration("cold_start", m.GetColdStart(), 0, maxColdStartDuration)
 }
 
