--- a/internal/emul/platform.go
+++ b/internal/emul/platform.go
@@ -217,6 +217,16 @@
 	p.transact("", &wirepb.Transaction{Puts: []*wirepb.Row{{Table: table, Key: key, Value: value}}})
 }
 
+// DeleteRow deletes one row of any table without conditions, as an operator does.
+func (p *Platform) DeleteRow(table, key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.rows[rowKey{table: table, key: key}] = &wirepb.Row{Table: table, Key: key, Version: p.version, Deleted: true}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 // PutSystemRow writes one row of a part of the system's table.
 func (p *Platform) PutSystemRow(part, key string, value []byte) {
 	p.transact(part, &wirepb.Transaction{Puts: []*wirepb.Row{{Key: key, Value: value}}})
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -53,6 +53,9 @@
 	arrived := r.cfg.Now()
 	ctx, cancel := context.WithTimeoutCause(ctx, head.GetTimeLeft().AsDuration()+deadlineGraceDuration, &NoResponseError{TimeLeft: head.GetTimeLeft().AsDuration()})
 	defer cancel()
+	if refusal := r.refuseEvacuated(head); refusal != nil {
+		return refusal
+	}
 	u := r.leastLoaded(head)
 	if u == nil {
 		return notRunAnswer(head, wirepb.Refusal_REFUSAL_NO_UPSTREAM)
@@ -73,7 +76,11 @@
 		u.limiter.Cancel()
 		return notRunAnswer(head, wirepb.Refusal_REFUSAL_EXPIRED)
 	}
-	// The upstream may have become cold while the call waited.
+	// The data centre may have been evacuated, or the upstream have become cold, while the call waited.
+	if refusal := r.refuseEvacuated(head); refusal != nil {
+		u.limiter.Cancel()
+		return refusal
+	}
 	admission.Cold = r.currentColdLimit(u)
 	if delay := u.pacer.Take(admission, u.limiter.Running()); delay > 0 {
 		u.limiter.Cancel()
--- a/internal/local/cold.go
+++ b/internal/local/cold.go
@@ -31,10 +31,36 @@
 
 func (c *coldness) isCold(now time.Time) bool { return c.assumed || now.Before(c.until) }
 
-// coldLimit returns the limit of an upstream's cold start; an upstream whose service declares none never counts as cold.
+// coldLimit returns the limit of an upstream's cold start; an upstream whose service declares none never counts as cold. During an
+// evacuation, callers' nodes are told that the upstreams are cold, as they will be at its end.
 func (r *Registry) coldLimit(u *upstream) admit.ColdLimit {
 	perSecond := r.cfg.ColdLimit(u.service)
-	return admit.ColdLimit{PerSecond: perSecond, Cold: perSecond > 0 && u.coldness.isCold(r.cfg.Now())}
+	return admit.ColdLimit{PerSecond: perSecond, Cold: perSecond > 0 && (r.evacuated || u.coldness.isCold(r.cfg.Now()))}
+}
+
+// updateEvacuated looks whether the node's data centre is evacuated. When an evacuation ends, the upstreams count as cold until they
+// announce otherwise; announcements from before the end may still arrive for a while.
+func (r *Registry) updateEvacuated() {
+	evacuated := r.cfg.Evacuated()
+	if r.evacuated && !evacuated {
+		for _, u := range r.upstreams {
+			u.coldness.assume(r.cfg.Now().Add(r.cfg.AnnounceInterval))
+		}
+	}
+	r.evacuated = evacuated
+}
+
+// refuseEvacuated refuses a call if the node's data centre is evacuated; otherwise it returns nil.
+func (r *Registry) refuseEvacuated(head *wirepb.CallHead) *wirepb.AnswerHead {
+	r.mu.Lock()
+	r.updateEvacuated()
+	evacuated := r.evacuated
+	r.mu.Unlock()
+	if !evacuated {
+		return nil
+	}
+	r.EvacuationRefusals.Add(1)
+	return notRunAnswer(head, wirepb.Refusal_REFUSAL_EVACUATED)
 }
 
 func (r *Registry) currentColdLimit(u *upstream) admit.ColdLimit {
--- a/internal/local/cold_test.go
+++ b/internal/local/cold_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +33,8 @@
 	arrivals  []time.Time
 	published []*wirepb.MemberUpstream
 	// declared says that the service declares a cold rate.
-	declared bool
+	declared  bool
+	evacuated bool
 }
 
 func newColdFixture(t *testing.T) *coldFixture {
@@ -44,6 +47,7 @@
 		CheckExposure:     func(Exposure) wirepb.Refusal { return wirepb.Refusal_REFUSAL_UNSPECIFIED },
 		Observe:           func(Observation) func(Observation) { return func(Observation) {} },
 		OnUpstreamsChange: func(list []*wirepb.MemberUpstream) { f.published = list },
+		Evacuated:         func() bool { return f.evacuated },
 		ColdLimit: func(service string) float64 {
 			if !f.declared || service != shopService {
 				return 0
@@ -247,3 +251,63 @@
 	f.offer(t, 400, 40, coldDuration)
 	require.LessOrEqual(t, f.maxArrivals(time.Time{}), maxColdCalls)
 }
+
+// Guards against a call that reaches an upstream of an evacuated data centre, and against upstreams that get as many calls as before when
+// the evacuation ends.
+func TestEvacuatedUpstreamsGetNoCalls(t *testing.T) {
+	const started = 1_700_000_000
+	f := newColdFixture(t)
+	f.announce(t, started, 1, 0)
+	require.Zero(t, f.offer(t, 100, 1, time.Second))
+	before := len(f.arrivals)
+	f.evacuated = true
+	require.True(t, f.expireSilent(), "callers' nodes are told that the upstream is cold")
+	for range 3 {
+		answer := f.Call(t.Context(), newHead())
+		require.Equal(t, wirepb.Outcome_OUTCOME_NOT_RUN, answer.GetOutcome())
+		require.Equal(t, wirepb.Refusal_REFUSAL_EVACUATED, answer.GetRefusal())
+	}
+	require.Len(t, f.arrivals, before)
+	require.EqualValues(t, 3, f.EvacuationRefusals.Load())
+	f.now = f.now.Add(time.Second)
+	f.announce(t, started, 2, 0)
+	require.True(t, f.published[0].GetCold())
+
+	f.evacuated = false
+	ended := f.now
+	f.offer(t, 400, 40, f.cfg.AnnounceInterval/2)
+	f.announce(t, started, 3, 0)
+	require.True(t, f.Status()[0].GetCold(), "an announcement from before the end that was delayed")
+	f.offer(t, 400, 40, f.cfg.AnnounceInterval)
+	require.LessOrEqual(t, f.maxArrivals(ended), maxColdCalls)
+	f.announce(t, started, 4, 0)
+	require.False(t, f.Status()[0].GetCold())
+	require.Zero(t, f.offer(t, 400, 40, time.Second))
+}
+
+// A call that waits for a slot when its data centre is evacuated must not run, however long it would have waited.
+func TestWaitingCallIsRefusedWhenTheDataCentreIsEvacuated(t *testing.T) {
+	var calls, evacuated atomic.Int32
+	finish := make(chan struct{})
+	f := newFixture(t, serve(t, func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		<-finish
+	}))
+	f.cfg.Evacuated = func() bool { return evacuated.Load() > 0 }
+	var running sync.WaitGroup
+	refusals := make(chan wirepb.Refusal, 4)
+	for range 4 {
+		running.Go(func() { refusals <- f.Call(t.Context(), newHead()).GetRefusal() })
+	}
+	require.Eventually(t, func() bool { return calls.Load() == 2 && f.leastLoaded(newHead()).limiter.LoadPermille() == 2000 }, time.Second, time.Millisecond)
+	evacuated.Store(1)
+	close(finish)
+	running.Wait()
+	close(refusals)
+	count := map[wirepb.Refusal]int{}
+	for r := range refusals {
+		count[r]++
+	}
+	require.Equal(t, map[wirepb.Refusal]int{wirepb.Refusal_REFUSAL_UNSPECIFIED: 2, wirepb.Refusal_REFUSAL_EVACUATED: 2}, count, "calls in progress finish")
+	require.EqualValues(t, 2, calls.Load())
+}
--- a/internal/local/expiry.go
+++ b/internal/local/expiry.go
@@ -24,6 +24,7 @@
 func (r *Registry) expireSilent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.updateEvacuated()
 	changed := r.coldnessChanged()
 	for address, u := range r.upstreams {
 		silence := r.cfg.Now().Sub(u.lastAnnounced)
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -91,6 +91,8 @@
 	// ColdLimit returns how many calls a second an upstream of a service may get while it is cold, or zero if they are not limited; nil
 	// means that no service limits them.
 	ColdLimit func(service string) float64
+	// Evacuated reports whether the node's data centre is evacuated; nil means that it never is.
+	Evacuated func() bool
 	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
 	// call ends.
 	Observe func(started Observation) (end func(ended Observation))
@@ -114,6 +116,8 @@
 	mu        sync.Mutex
 	stopping  bool
 	upstreams map[netip.AddrPort]*upstream
+	// evacuated says that the node's data centre was evacuated when the registry last looked.
+	evacuated bool
 	// departures holds the upstreams that left, by id.
 	departures map[string]departure
 	// departuresLoaded means that departures includes those that earlier processes of this node recorded.
@@ -127,6 +131,8 @@
 	runningRepeated atomic.Int64
 	// ColdRefusals is the number of calls refused because of the limit of a cold upstream.
 	ColdRefusals atomic.Int64
+	// EvacuationRefusals is the number of calls refused because the node's data centre is evacuated.
+	EvacuationRefusals atomic.Int64
 }
 
 // New returns an empty registry.
@@ -137,6 +143,9 @@
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
+	if cfg.Evacuated == nil {
+		cfg.Evacuated = func() bool { return false }
+	}
 	if cfg.ColdLimit == nil {
 		cfg.ColdLimit = func(string) float64 { return 0 }
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -33,6 +33,8 @@
 	PeerAddress netip.AddrPort
 	Version     string
 	Slots       uint32
+	// Cold says that the upstream is in a cold start in which its service limits its calls.
+	Cold bool
 }
 
 // Config configures a Table.
@@ -206,7 +208,7 @@
 		if address, err := netip.ParseAddrPort(record.GetPeerAddress()); err == nil {
 			list = append(list, &Upstream{
 				Node: record.GetNode(), Life: record.GetLife(), Region: record.GetRegion(), DataCentre: record.GetDataCentre(),
-				PeerAddress: address, Version: u.GetVersion(), Slots: u.GetSlots(),
+				PeerAddress: address, Version: u.GetVersion(), Slots: u.GetSlots(), Cold: u.GetCold(),
 			})
 		}
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -167,6 +167,7 @@
 			}
 			return move.CheckExposure(log.State().Services[exposure.Service], exposure, verdicts, monitor.Alarmed(exposure.Service))
 		},
+		Evacuated: func() bool { return log.State().Evacuated[s.DataCentre] },
 		ColdLimit: func(service string) float64 {
 			if declared, found := log.State().Services[service]; found {
 				return declared.ColdRate * s.ColdOverage
@@ -190,10 +191,11 @@
 	})
 }
 
-func newPicker(s *conf.Settings, now clock, members *member.Table, pool *peer.Pool) *route.Picker {
+func newPicker(s *conf.Settings, now clock, log *oplog.Log, members *member.Table, pool *peer.Pool) *route.Picker {
 	return route.NewPicker(route.PickerConfig{
 		Node: s.Name, DataCentre: s.DataCentre, Region: s.Region, Policy: s.PickPolicy, SubsetSize: s.SubsetSize,
 		Now: now, Upstreams: members.Upstreams, Preconnect: pool.Preconnect, IsSuspect: pool.IsSuspect,
+		Evacuated: func() map[string]bool { return log.State().Evacuated },
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -217,6 +217,7 @@
 	run(n.localRegistry.RunExpiry)
 	run(n.runExpiry)
 	run(n.watchStalls)
+	run(n.watchEvacuations)
 	if n.settings.OperatorRows {
 		run(n.importer.Run)
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -31,7 +33,8 @@
 		Relay: n.hub.IsRelay(), Links: uint32(n.hub.LinkCount()), PlatformUp: n.store.IsReachable(),
 		Upstreams: n.localRegistry.Status(), Members: uint32(n.members.LiveCount()),
 		SubtreeNodes: subtree.Nodes, SubtreeOldestRevision: subtree.OldestRevision, SubtreeRefusals: subtree.Refusals,
-		Life: n.members.Record(n.settings.Name).GetLife(),
+		Evacuated: slices.Sorted(maps.Keys(n.log.State().Evacuated)),
+		Life:      n.members.Record(n.settings.Name).GetLife(),
 	}
 	if invalid := n.log.InvalidRevision(); invalid != nil {
 		status.RefusedReason = invalid.Reason
@@ -105,6 +108,8 @@
 	m.RegisterCounter("peer_refused_total", "Sessions and streams of nodes refused for their form.", nil, func() float64 { return float64(n.peerServer.Rejected.Load()) })
 	m.RegisterGauge("cold_upstreams", "Local upstreams in a cold start that limits their calls.", func() float64 { return float64(n.localRegistry.ColdUpstreams()) })
 	m.RegisterCounter("cold_refused_total", "Calls refused because of the limit of a cold upstream.", nil, func() float64 { return float64(n.localRegistry.ColdRefusals.Load()) })
+	m.RegisterGauge("evacuated_data_centres", "Data centres that are evacuated.", func() float64 { return float64(len(n.log.State().Evacuated)) })
+	m.RegisterCounter("evacuation_refused_total", "Calls to local upstreams refused because the data centre is evacuated.", nil, func() float64 { return float64(n.localRegistry.EvacuationRefusals.Load()) })
 	for kind, name := range relay.FrameKindNames {
 		labels := map[string]string{"kind": name}
 		m.RegisterCounter("control_sent_bytes_total", "Bytes of link messages sent, by kind.", labels, func() float64 { return float64(n.hub.Counters.SentBytes[kind].Load()) })
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -22,6 +22,8 @@
 const (
 	// shortRetryDelay is about the time after which all nodes have received a change of the upstreams.
 	shortRetryDelay = 150 * time.Millisecond
+	// evacuatedRetryDelay applies while all data centres with upstreams of a service are evacuated, which an operator has to end.
+	evacuatedRetryDelay = time.Second
 	// maxRetryFraction keeps two thirds of a caller's remaining time for the repeated call.
 	maxRetryFraction = 0.33
 	minRetryFraction = 0.2
@@ -33,6 +35,9 @@
 // the limit of an upstream allows another call, if that is the reason. Any other refusal no longer applies once the nodes have
 // received the change that caused it.
 func retryAfter(answer *wirepb.AnswerHead, left, objectiveLeft time.Duration) string {
+	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_EVACUATED {
+		return formatSeconds(evacuatedRetryDelay + rand.N(evacuatedRetryDelay))
+	}
 	soon := shortRetryDelay/2 + rand.N(shortRetryDelay)
 	if answer.GetRefusal() != wirepb.Refusal_REFUSAL_OVERLOADED {
 		return formatSeconds(soon)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -46,6 +46,8 @@
 			answer = p.attempt(ctx, c, chosen, toNew && t.arrived+1 < c.route.Attempts)
 		} else if delay := p.limitDelay(c); delay > 0 {
 			answer = limitedAnswer(c.head, delay)
+		} else if p.cfg.Picker.isEvacuated(subsetKeyOf(c)) {
+			answer = &wirepb.AnswerHead{CallId: c.head.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_EVACUATED}
 		}
 		if toNew {
 			p.confirmFailure(c, answer)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -48,6 +49,8 @@
 	Upstreams  func(service string) []*member.Upstream
 	// Preconnect connects to a node in the background, so that no call waits for it.
 	Preconnect func(address netip.AddrPort)
+	// Evacuated returns the data centres whose upstreams get no calls; nil means that there are none.
+	Evacuated func() map[string]bool
 	// IsSuspect reports whether a node may be gone; nil means that none is suspect.
 	IsSuspect func(address netip.AddrPort) bool
 }
@@ -79,8 +82,11 @@
 
 type subset struct {
 	// all is the list that the subset was chosen from.
-	all   []*member.Upstream
-	tiers [tierCount][]*candidate
+	all []*member.Upstream
+	// evacuated are the data centres that were evacuated then; excluded says that some upstream was left out for it.
+	evacuated map[string]bool
+	excluded  bool
+	tiers     [tierCount][]*candidate
 }
 
 // candidate is an upstream with the statistics of the calls to it.
@@ -94,6 +100,9 @@
 	if cfg.IsSuspect == nil {
 		cfg.IsSuspect = func(netip.AddrPort) bool { return false }
 	}
+	if cfg.Evacuated == nil {
+		cfg.Evacuated = func() map[string]bool { return nil }
+	}
 	return &Picker{cfg: cfg, subsets: map[subsetKey]*subset{}, stats: map[statsKey]*stats{}}
 }
 
@@ -154,6 +163,19 @@
 	return shortest
 }
 
+// isEvacuated reports whether there is no upstream for a key because all of them are in evacuated data centres.
+func (p *Picker) isEvacuated(key subsetKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.subset(key)
+	for _, tier := range s.tiers {
+		if len(tier) > 0 {
+			return false
+		}
+	}
+	return s.excluded
+}
+
 // lowestFaultRate returns the lowest fault rate of the upstreams that may be picked.
 func lowestFaultRate(all []*candidate, tried map[*stats]bool, now time.Time) float64 {
 	lowest := 1.0
@@ -227,13 +249,18 @@
 // subset returns the bounded list of upstreams that this node uses; it is chosen again when the members change.
 func (p *Picker) subset(key subsetKey) *subset {
 	all := p.cfg.Upstreams(key.service)
+	evacuated := p.cfg.Evacuated()
 	known, found := p.subsets[key]
-	if found && sameSlice(known.all, all) {
+	if found && sameSlice(known.all, all) && maps.Equal(known.evacuated, evacuated) {
 		return known
 	}
-	s := &subset{all: all}
+	s := &subset{all: all, evacuated: evacuated}
 	taken := 0
 	for _, u := range p.preferred(all, key) {
+		if evacuated[u.DataCentre] {
+			s.excluded = true
+			continue
+		}
 		if taken == p.cfg.SubsetSize {
 			break
 		}
--- a/internal/route/stats.go
+++ b/internal/route/stats.go
@@ -99,7 +99,7 @@
 	switch refusal {
 	case wirepb.Refusal_REFUSAL_UNREACHABLE:
 		s.eject(now)
-	case wirepb.Refusal_REFUSAL_NO_UPSTREAM, wirepb.Refusal_REFUSAL_LEAVING:
+	case wirepb.Refusal_REFUSAL_NO_UPSTREAM, wirepb.Refusal_REFUSAL_LEAVING, wirepb.Refusal_REFUSAL_EVACUATED:
 		s.ejectedUntil = now.Add(leavingEjectionDuration)
 	case wirepb.Refusal_REFUSAL_OVERLOADED:
 		s.loadPermille, s.loadAt = fullLoadPermille, now
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -35,6 +35,9 @@
 	orderWatchDuration = 1500 * time.Millisecond
 )
 
+// operatorAuthor is the author of the changes that import operator rows.
+const operatorAuthor = "operator"
+
 // Config configures an Importer.
 type Config struct {
 	Logger *zap.Logger
@@ -53,6 +56,8 @@
 	// cursor is the version up to which the table has been read; 0 means that the whole table must be read.
 	cursor uint64
 	rows   map[string]*wirepb.Row
+	// fullRead is the newest read of the whole table, or nil once the evacuations that it lacks have been found.
+	fullRead *fullRead
 	// readAt holds the times at which the rows were read.
 	readAt map[string]time.Time
 	// invalid holds the latest invalid version of a row, by its key.
@@ -101,19 +106,23 @@
 }
 
 func (i *Importer) readTable(ctx context.Context) error {
-	from, first := "", uint64(0)
+	from, first, present := "", uint64(0), map[string]bool{}
 	for {
 		page, err := i.cfg.Store.TablePage(ctx, platform.OperatorTable, from, "", maxPageRows)
 		if err != nil {
 			return err
 		}
 		i.applyPage(page)
+		for _, r := range page.Rows {
+			present[r.GetKey()] = true
+		}
 		if first == 0 {
 			first = page.Version
 		}
 		if !page.More || len(page.Rows) == 0 {
 			// Rows of earlier pages may have changed since: the feed must go on from the first page.
 			i.cursor = first
+			i.fullRead = &fullRead{present: present, version: first}
 			return nil
 		}
 		from = page.Rows[len(page.Rows)-1].GetKey() + "\x00"
@@ -131,9 +140,10 @@
 
 // importAll commits the rows that the oplog does not hold yet: the configuration first, since move orders depend on it.
 func (i *Importer) importAll(ctx context.Context) {
-	for _, wanted := range []func(row *wirepb.Row) bool{platform.IsConfig, platform.IsMoveOrder} {
+	i.removeMissingEvacuations()
+	for _, wanted := range []func(row *wirepb.Row) bool{platform.IsConfig, platform.IsEvacuation, platform.IsMoveOrder} {
 		for _, row := range i.rows {
-			if wanted(row) && !row.GetDeleted() && !i.isProcessed(row) {
+			if wanted(row) && (!row.GetDeleted() || platform.IsEvacuation(row)) && !i.isProcessed(row) {
 				i.commit(ctx, row)
 			}
 		}
@@ -149,6 +159,9 @@
 	if platform.IsConfig(row) {
 		return state.OperatorConfigVersion >= row.GetVersion()
 	}
+	if platform.IsEvacuation(row) && isEvacuationProcessed(state, row) {
+		return true
+	}
 	return state.MoveOrderVersions[row.GetKey()] >= row.GetVersion()
 }
 
@@ -165,16 +178,16 @@
 		i.markInvalid(row, err)
 		return
 	}
-	revision, err := i.cfg.Log.Submit(ctx, row.GetKey()+"-"+strconv.FormatUint(row.GetVersion(), 10), build)
+	revision, err := i.cfg.Log.Submit(ctx, operationID(row), build)
 	var applied *AlreadyAppliedError
 	var invalidValue *tree.ValueError
 	var invalidPath *tree.PathError
 	switch {
 	case err == nil:
-		i.cfg.Logger.Info("operator row committed", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Uint64("revision", revision),
+		i.cfg.Logger.Info("operator row committed", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Bool("removed", row.GetDeleted()), zap.Uint64("revision", revision),
 			zap.Duration("waited", started.Sub(i.readAt[row.GetKey()])), zap.Duration("committed_in", i.cfg.Now().Sub(started)))
 	case errors.As(err, &applied):
-	case platform.IsConfig(row) && (errors.As(err, &invalidValue) || errors.As(err, &invalidPath)):
+	case !platform.IsMoveOrder(row) && (errors.As(err, &invalidValue) || errors.As(err, &invalidPath)):
 		i.markInvalid(row, err)
 	default:
 		i.cfg.Logger.Info("could not commit operator row; will retry", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Error(err))
@@ -186,6 +199,14 @@
 	}
 }
 
+func operationID(row *wirepb.Row) string {
+	id := row.GetKey() + "-" + strconv.FormatUint(row.GetVersion(), 10)
+	if row.GetDeleted() {
+		id += "-removed"
+	}
+	return id
+}
+
 // waitForOtherImporters waits until an importer of lower rank has committed a row, or for at most wait.
 func (i *Importer) waitForOtherImporters(ctx context.Context, row *wirepb.Row, wait time.Duration) {
 	timer := time.NewTimer(wait)
@@ -219,6 +240,9 @@
 		}
 		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config.Values) }, nil
 	}
+	if platform.IsEvacuation(row) {
+		return i.evacuationFunc(row)
+	}
 	order, err := platform.DecodeMoveOrder(row)
 	if err != nil {
 		return nil, err
@@ -278,7 +302,7 @@
 func movePath(service string) string { return "/teams/" + platform.OperatorTeam + "/moves/" + service }
 
 func (i *Importer) newChange(state *tree.State) *wirepb.Change {
-	return &wirepb.Change{Revision: state.Revision + 1, Author: "operator", Time: timestamppb.New(i.cfg.Now())}
+	return &wirepb.Change{Revision: state.Revision + 1, Author: operatorAuthor, Time: timestamppb.New(i.cfg.Now())}
 }
 
 // orderChange declares the move that an operator row orders, with the deadline counted from the receipt of the order.
@@ -298,7 +322,7 @@
 	if err != nil {
 		return nil, err
 	}
-	change.Author, change.Order = "operator", &wirepb.OrderMark{Row: row.GetKey(), Version: row.GetVersion()}
+	change.Author, change.Order = operatorAuthor, &wirepb.OrderMark{Row: row.GetKey(), Version: row.GetVersion()}
 	return change, nil
 }
 
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -21,7 +21,7 @@
 func newBuilder(s *State) *builder {
 	return &builder{
 		next: &State{
-			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, entryCount: s.entryCount, Services: maps.Clone(s.Services),
+			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, Evacuated: s.Evacuated, entryCount: s.entryCount, Services: maps.Clone(s.Services),
 			MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
 		},
 		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
@@ -156,7 +156,7 @@
 func (b *builder) compileTeam(team string, entries map[string]decodedEntry, previousTeams map[string]string) error {
 	t := b.next.subtrees[team]
 	if team == systemTeam {
-		return b.compileLimits(t)
+		return b.compileSystem(t)
 	}
 	if len(t.entries) == 0 {
 		delete(b.next.subtrees, team)
@@ -195,13 +195,17 @@
 	return nil
 }
 
-func (b *builder) compileLimits(t *subtree) error {
+// compileSystem compiles the limits and the evacuations.
+func (b *builder) compileSystem(t *subtree) error {
 	values, err := t.decodeExceptRoutes(nil)
 	if err != nil {
 		return err
 	}
-	b.next.Limits = Limits{}
+	b.next.Limits, b.next.Evacuated = Limits{}, map[string]bool{}
 	for _, e := range values {
+		if e.path.Kind == KindEvacuation {
+			b.next.Evacuated[e.path.Name] = true
+		}
 		if v, ok := e.message.(*wirepb.LimitsSetting); ok {
 			b.next.Limits = Limits{
 				MaxHeaderBytes: int(v.GetHeaderBytes()), MaxBodyBytes: int64(v.GetBodyBytes()),
--- a/internal/tree/edit.go
+++ b/internal/tree/edit.go
@@ -63,7 +63,7 @@
 	if path.Kind == KindMoveRecord {
 		return false
 	}
-	if path.Kind == KindLimits {
+	if path.Kind == KindLimits || path.Kind == KindEvacuation {
 		return author == Administrator
 	}
 	return author == Administrator || author == path.Team
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -7,7 +7,7 @@
 
 const (
 	maxPathBytes = 200
-	allowedPaths = "/system/limits, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -"
+	allowedPaths = "/system/limits, /system/evacuations/DATA_CENTRE, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -"
 )
 
 // systemTeam stands for the team of paths that belong to no team; ParsePath accepts no services, routes or moves under it.
@@ -16,6 +16,9 @@
 // LimitsPath is the path of the limits on callers' requests.
 const LimitsPath = "/system/limits"
 
+// evacuationPrefix is the prefix of the paths of evacuations.
+const evacuationPrefix = "/system/evacuations/"
+
 // Kind is the kind of value at a path.
 type Kind int
 
@@ -29,9 +32,15 @@
 	// KindMoveRecord is the progress of a move, which nodes write.
 	KindMoveRecord
 	KindLimits
+	// KindEvacuation is the evacuation of a data centre.
+	KindEvacuation
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+	// dataCentrePattern allows all names of data centres that the settings of a node allow.
+	dataCentrePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+)
 
 // Path is a parsed path of the tree.
 type Path struct {
@@ -60,6 +69,8 @@
 		return Path{Kind: KindLimits, Team: systemTeam}, true
 	case len(parts) == 3 && parts[0] == "system" && parts[1] == "moves":
 		return Path{Kind: KindMoveRecord, Name: parts[2]}, true
+	case len(parts) == 3 && parts[0] == "system" && parts[1] == "evacuations":
+		return Path{Kind: KindEvacuation, Team: systemTeam, Name: parts[2]}, true
 	case len(parts) == 3 && parts[0] == "teams" && parts[2] == "access":
 		return Path{Kind: KindAccess, Team: parts[1]}, true
 	case len(parts) != 4 || parts[0] != "teams", parts[1] == systemTeam:
@@ -71,10 +82,16 @@
 }
 
 func (p Path) hasValidNames() bool {
+	if p.Kind == KindEvacuation {
+		return dataCentrePattern.MatchString(p.Name)
+	}
 	team := p.Kind == KindMoveRecord || namePattern.MatchString(p.Team)
 	name := p.Kind == KindAccess || p.Kind == KindLimits || namePattern.MatchString(p.Name)
 	return team && name
 }
 
+// EvacuationPath returns the path of a data centre's evacuation; ParsePath rejects it if the name is not one of a data centre.
+func EvacuationPath(dataCentre string) string { return evacuationPrefix + dataCentre }
+
 // MoveRecordPath returns the path of a service's move record.
 func MoveRecordPath(service string) string { return "/system/moves/" + service }
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -80,7 +80,10 @@
 	// OperatorConfigVersion is the version of the operator row whose configuration the state contains, or 0.
 	OperatorConfigVersion uint64
 	Limits                Limits
-	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order for a move the state contains.
+	// Evacuated holds the data centres whose upstreams get no calls; it must not be changed.
+	Evacuated map[string]bool
+	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order, for a move or an evacuation or for its
+	// end, the state contains.
 	MoveOrderVersions map[string]uint64
 
 	// subtrees holds the subtrees by team.
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -74,6 +74,8 @@
 		return &wirepb.MoveSetting{}
 	case KindLimits:
 		return &wirepb.LimitsSetting{}
+	case KindEvacuation:
+		return &wirepb.EvacuationSetting{}
 	default:
 		return &wirepb.MoveRecord{}
 	}
--- a/pkg/cmd/node/status/status.go
+++ b/pkg/cmd/node/status/status.go
@@ -61,13 +61,18 @@
 		{"platform_up", strconv.FormatBool(s.GetPlatformUp())},
 		{"members", strconv.FormatUint(uint64(s.GetMembers()), 10)},
 		{"links", strconv.FormatUint(uint64(s.GetLinks()), 10)},
+		{"evacuated", strings.Join(s.GetEvacuated(), " ")},
 		{"subtree_nodes", strconv.FormatUint(uint64(s.GetSubtreeNodes()), 10)},
 		{"subtree_oldest_revision", strconv.FormatUint(s.GetSubtreeOldestRevision(), 10)},
 		{"subtree_refusals", strings.Join(s.GetSubtreeRefusals(), "; ")},
 	}
 	for _, u := range s.GetUpstreams() {
-		list = append(list, []string{"upstream", u.GetService() + " " + u.GetVersion() + " " + u.GetAddress() +
-			" " + strconv.FormatUint(uint64(u.GetInFlight()), 10) + "/" + strconv.FormatUint(uint64(u.GetSlots()), 10)})
+		row := u.GetService() + " " + u.GetVersion() + " " + u.GetAddress() +
+			" " + strconv.FormatUint(uint64(u.GetInFlight()), 10) + "/" + strconv.FormatUint(uint64(u.GetSlots()), 10)
+		if u.GetCold() {
+			row += " cold"
+		}
+		list = append(list, []string{"upstream", row})
 	}
 	return list
 }
