--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -65,7 +65,9 @@
 	// ColdStartDuration is the time from the first call in which calls take ColdStartDelay longer.
 	ColdStartDuration time.Duration
 	ColdStartDelay    time.Duration
-	Fault             Fault
+	// AnnouncedColdStart is the cold start that the upstream announces from its start on; zero means that it announces none.
+	AnnouncedColdStart time.Duration
+	Fault              Fault
 	// SkipDeregistration lets the upstream stop without announcing it; it still serves calls until the drain timeout.
 	SkipDeregistration bool
 }
@@ -253,11 +255,15 @@
 	if u.cfg.AnnouncedAddress.IsValid() {
 		address = u.cfg.AnnouncedAddress
 	}
-	body, err := protojson.Marshal(&wirepb.Announcement{
+	announcement := &wirepb.Announcement{
 		Service: u.cfg.Service, Version: u.cfg.Version, Address: address.String(),
 		Slots: uint32(u.cfg.Slots), Connections: uint32(u.cfg.Connections), Leaving: leaving,
 		Uptime: durationpb.New(time.Since(u.startedAt)),
-	})
+	}
+	if u.cfg.AnnouncedColdStart > 0 {
+		announcement.ColdLeft = durationpb.New(max(0, u.cfg.AnnouncedColdStart-time.Since(u.startedAt)))
+	}
+	body, err := protojson.Marshal(announcement)
 	if err != nil {
 		return
 	}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -119,7 +119,8 @@
 }
 
 // choose prefers the nearest tier that has an upstream with a free slot, without a fault that others lack, on a node that is
-// not suspect; then any upstream that is not ejected, then any. An upstream whose limit allows no call now is never chosen.
+// not suspect, and in it upstreams that are not cold. Cold ones come before those farther away, which would otherwise get all calls of
+// a data centre that returns cold, while its own upstreams are idle. Then it chooses any upstream that is not ejected, then any. An upstream whose limit allows no call now is never chosen.
 func (p *Picker) choose(s *subset, tried map[*stats]bool) *candidate {
 	if p.cfg.Policy == PolicyRoundRobin {
 		return p.roundRobin(s, tried)
@@ -133,10 +134,15 @@
 	if rand.Float64() < probeFraction {
 		tolerableFaultRate = 1
 	}
+	isFree := func(c *candidate) bool {
+		return !tried[c.stats] && c.stats.isAvailable(now) && !c.isSaturated(now) && !p.isSuspect(c) && c.stats.faultRate <= tolerableFaultRate
+	}
 	for _, tier := range s.tiers {
-		if c := leastLoadedOfTwo(filter(tier, func(c *candidate) bool {
-			return !tried[c.stats] && c.stats.isAvailable(now) && !c.isSaturated(now) && !p.isSuspect(c) && c.stats.faultRate <= tolerableFaultRate
-		})); c != nil {
+		free := filter(tier, isFree)
+		if warm := filter(free, func(c *candidate) bool { return !c.upstream.Cold }); len(warm) > 0 {
+			free = warm
+		}
+		if c := leastLoadedOfTwo(free); c != nil {
 			return c
 		}
 	}
@@ -246,7 +252,8 @@
 	return c.stats.loadPermille >= fullLoadPermille && now.Sub(c.stats.loadAt) < overloadTTL
 }
 
-// subset returns the bounded list of upstreams that this node uses; it is chosen again when the members change.
+// subset returns the bounded list of upstreams that this node uses; it is chosen again when the members or the evacuations change. Cold
+// upstreams are bounded separately, so that a data centre whose upstreams are all cold uses others as well.
 func (p *Picker) subset(key subsetKey) *subset {
 	all := p.cfg.Upstreams(key.service)
 	evacuated := p.cfg.Evacuated()
@@ -255,16 +262,16 @@
 		return known
 	}
 	s := &subset{all: all, evacuated: evacuated}
-	taken := 0
+	taken := map[bool]int{}
 	for _, u := range p.preferred(all, key) {
 		if evacuated[u.DataCentre] {
 			s.excluded = true
 			continue
 		}
-		if taken == p.cfg.SubsetSize {
-			break
+		if taken[u.Cold] == p.cfg.SubsetSize {
+			continue
 		}
-		taken++
+		taken[u.Cold]++
 		tier := p.tier(u)
 		s.tiers[tier] = append(s.tiers[tier], &candidate{upstream: u, stats: p.statsOf(key, u)})
 		if u.Node != p.cfg.Node {
