--- a/internal/admit/pacer.go
+++ b/internal/admit/pacer.go
@@ -29,6 +29,8 @@
 	Now func() time.Time
 	// Unknown means that the upstream was running before the node: until its first response, it is unknown whether it named a limit.
 	Unknown bool
+	// UncountedUntil is when another process may last have sent calls to the upstream, or zero.
+	UncountedUntil time.Time
 }
 
 // Pacer keeps the rate of calls to one upstream within the limit that the upstream names in its responses, and within that of its
@@ -49,7 +51,9 @@
 }
 
 // NewPacer returns a pacer without a limit.
-func NewPacer(cfg PacerConfig) *Pacer { return &Pacer{cfg: cfg, unknown: cfg.Unknown} }
+func NewPacer(cfg PacerConfig) *Pacer {
+	return &Pacer{cfg: cfg, unknown: cfg.Unknown, sent: window{newest: cfg.UncountedUntil}}
+}
 
 // CountCallsOf counts the calls that another pacer sent, since the upstream that this one is for may have got them.
 func (p *Pacer) CountCallsOf(previous *Pacer) {
--- a/internal/local/cold_test.go
+++ b/internal/local/cold_test.go
@@ -221,6 +221,15 @@
 			require.Equal(t, tt.want, f.maxArrivals(time.Time{}) <= maxColdCalls)
 		})
 	}
+	t.Run("calls of an earlier process of the node may have come before its start", func(t *testing.T) {
+		f := newColdFixture(t)
+		f.announce(t, started-1, 1, coldDuration)
+		f.now = f.now.Add(time.Second / 2)
+		f.offer(t, 400, 40, time.Second/2)
+		require.Empty(t, f.arrivals)
+		f.offer(t, 400, 40, time.Second)
+		require.NotEmpty(t, f.arrivals)
+	})
 	t.Run("calls to the process before it count for a new one", func(t *testing.T) {
 		f := newColdFixture(t)
 		f.announce(t, started, 9, 0)
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -58,6 +58,10 @@
 }
 
 func newUpstream(address netip.AddrPort, a *wirepb.Announcement, cfg Config) *upstream {
+	unknown, uncountedUntil := a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt), time.Time{}
+	if unknown {
+		uncountedUntil = cfg.startedAt
+	}
 	u := &upstream{
 		id: a.GetId(), sequence: a.GetSequence(),
 		service: a.GetService(), version: a.GetVersion(), address: address,
@@ -67,7 +71,7 @@
 			Slots: int(a.GetSlots()), QueueSize: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
 		}),
 		pacer: admit.NewPacer(admit.PacerConfig{
-			Now: cfg.Now, Unknown: a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt),
+			Now: cfg.Now, Unknown: unknown, UncountedUntil: uncountedUntil,
 		}),
 		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers,
 	}
