--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -19,7 +19,8 @@
 	maxFreshUptime = 10 * time.Second
 )
 
-// upstream is one local upstream. The mutex of the registry guards sequence, leaving, silent, leftAt, lastAnnounced and warmAt.
+// upstream is one local upstream. The mutex of the registry guards sequence, leaving, silent, leftAt, lastAnnounced,
+// warmAt, coldness and published.
 type upstream struct {
 	// id is empty for an upstream that does not announce one.
 	id string
@@ -38,6 +39,9 @@
 	lastAnnounced time.Time
 	// warmAt is when the cold start ends as announced; it is zero while no announcement has said so.
 	warmAt time.Time
+	// coldness is whether the upstream is in a cold start now, and published what the callers' nodes were told of it.
+	coldness  coldness
+	published bool
 
 	// firstCallSeen means that the upstream had run no call before its first announcement to this node.
 	firstCallSeen bool
@@ -49,9 +53,15 @@
 	firstCallNanos atomic.Int64
 	// lastCrashNanos is the Unix time of the newest counted crash in nanoseconds.
 	lastCrashNanos atomic.Int64
+	// connectionRefused says that nothing listened at the upstream's address in a call that has not ended yet.
+	connectionRefused atomic.Bool
 }
 
 func newUpstream(address netip.AddrPort, a *wirepb.Announcement, cfg Config) *upstream {
+	unknown, uncountedUntil := a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt), time.Time{}
+	if unknown {
+		uncountedUntil = cfg.startedAt
+	}
 	u := &upstream{
 		id: a.GetId(), sequence: a.GetSequence(),
 		service: a.GetService(), version: a.GetVersion(), address: address,
@@ -61,7 +71,7 @@
 			Slots: int(a.GetSlots()), QueueSize: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
 		}),
 		pacer: admit.NewPacer(admit.PacerConfig{
-			Now: cfg.Now, Unknown: a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt),
+			Now: cfg.Now, Unknown: unknown, UncountedUntil: uncountedUntil,
 		}),
 		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers,
 	}
@@ -69,6 +79,7 @@
 		u.started = a.GetStarted().AsTime()
 	}
 	u.updateWarmAt(a, cfg.Now())
+	u.coldness.report(a, cfg.Now())
 	return u
 }
 
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -16,6 +16,8 @@
 	Team string
 	// ColdStart is how long an upstream may be slow after its first call; it is negative if not declared.
 	ColdStart time.Duration
+	// ColdRate is the number of calls per second that one upstream takes in its cold start, or 0 if they are not limited.
+	ColdRate float64
 	// StableVersion is the version that takes the calls outside the share of a move.
 	StableVersion string
 	// AnyVersion says that no version is declared: every version that upstreams announce takes calls, except as a move directs.
@@ -78,7 +80,10 @@
 	// OperatorConfigVersion is the version of the operator row whose configuration the state contains, or 0.
 	OperatorConfigVersion uint64
 	Limits                Limits
-	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order for a move the state contains.
+	// Evacuated holds the data centres whose upstreams get no calls; it must not be changed.
+	Evacuated map[string]bool
+	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order, for a move or an evacuation or for its
+	// end, the state contains.
 	MoveOrderVersions map[string]uint64
 
 	// subtrees holds the subtrees by team.
