--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -33,6 +33,7 @@
 		SubtreeNodes: subtree.Nodes, SubtreeOldestRevision: subtree.OldestRevision, SubtreeRefusals: subtree.Refusals,
 		Life: n.members.Record(n.settings.Name).GetLife(),
 	}
+	status.IgnoredEntries = n.log.State().IgnoredEntries
 	if invalid := n.log.InvalidRevision(); invalid != nil {
 		status.RefusedReason = invalid.Reason
 	}
@@ -87,6 +88,7 @@
 	m := n.metrics
 	m.RegisterGauge("applied_revision", "Revision of the configuration in force.", func() float64 { return float64(n.log.State().Revision) })
 	m.RegisterGauge("configuration_age_seconds", "Bound of how old the configuration in force is.", func() float64 { return n.hub.Age().Seconds() })
+	m.RegisterGauge("ignored_entries", "Entries of the operator's configuration that were left out, up to 32.", func() float64 { return float64(len(n.log.State().IgnoredEntries)) })
 	m.RegisterGauge("known_revision", "Newest revision heard of.", func() float64 { return float64(n.log.KnownRevision()) })
 	m.RegisterGauge("members", "Nodes that are not down.", func() float64 { return float64(n.members.LiveCount()) })
 	m.RegisterGauge("links", "Links to other nodes.", func() float64 { return float64(n.hub.LinkCount()) })
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -43,7 +43,8 @@
 	Log    *oplog.Log
 	// Rank returns the position of this node among those that import, from 0, or a negative number if it does not import.
 	Rank func() int
-	// OnInvalidRow is called for each row version that cannot be decoded or holds an invalid configuration.
+	// OnInvalidRow is called for each row version that cannot be decoded or holds an invalid configuration, and for each entry of a
+	// configuration that was left out.
 	OnInvalidRow func()
 }
 
@@ -58,6 +59,9 @@
 	// invalid holds the latest invalid version of a row, by its key.
 	invalid map[string]uint64
 	decoder platform.ConfigDecoder
+	checker entryChecker
+	// reported holds the faults of entries that have been logged, as far as the newest configuration has them.
+	reported map[string]bool
 }
 
 // New returns an importer that has read nothing.
@@ -165,6 +169,9 @@
 		i.markInvalid(row, err)
 		return
 	}
+	if platform.IsConfig(row) {
+		defer i.reportFaults(row)
+	}
 	revision, err := i.cfg.Log.Submit(ctx, row.GetKey()+"-"+strconv.FormatUint(row.GetVersion(), 10), build)
 	var applied *AlreadyAppliedError
 	var invalidValue *tree.ValueError
@@ -213,11 +220,8 @@
 		if err != nil {
 			return nil, err
 		}
-		for _, unknown := range config.UnknownKinds {
-			i.cfg.OnInvalidRow()
-			i.cfg.Logger.Warn("unknown kind of route: its calls are not repeated", zap.Uint64("row_version", row.GetVersion()), zap.Error(unknown))
-		}
-		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config.Values) }, nil
+		i.checker.check(config)
+		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row) }, nil
 	}
 	order, err := platform.DecodeMoveOrder(row)
 	if err != nil {
@@ -228,10 +232,14 @@
 }
 
 // configChange sets the entries that differ from the operator's configuration and deletes those that it no longer declares.
-func (i *Importer) configChange(state *tree.State, row *wirepb.Row, values map[string]string) (*wirepb.Change, error) {
+func (i *Importer) configChange(state *tree.State, row *wirepb.Row) (*wirepb.Change, error) {
 	if state.OperatorConfigVersion >= row.GetVersion() {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
+	values, err := i.checker.values(state)
+	if err != nil {
+		return nil, err
+	}
 	change := i.newChange(state)
 	change.SourceVersion = row.GetVersion()
 	upToDate := map[string]bool{}
@@ -255,7 +263,7 @@
 
 // isOperatorPath reports whether a path is one that the operator's configuration sets.
 func isOperatorPath(path string) bool {
-	return path == tree.LimitsPath || strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/routes/") || strings.HasPrefix(path, servicePrefix)
+	return path == tree.LimitsPath || path == tree.IgnoredPath || strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/routes/") || strings.HasPrefix(path, servicePrefix)
 }
 
 const servicePrefix = "/teams/" + platform.OperatorTeam + "/services/"
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 
+	"google.golang.org/protobuf/types/known/structpb"
+
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -22,7 +24,7 @@
 	return &builder{
 		next: &State{
 			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, entryCount: s.entryCount, Services: maps.Clone(s.Services),
-			MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
+			IgnoredEntries: s.IgnoredEntries, MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
 		},
 		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
 	}
@@ -156,7 +158,7 @@
 func (b *builder) compileTeam(team string, entries map[string]decodedEntry, previousTeams map[string]string) error {
 	t := b.next.subtrees[team]
 	if team == systemTeam {
-		return b.compileLimits(t)
+		return b.compileSystem(t)
 	}
 	if len(t.entries) == 0 {
 		delete(b.next.subtrees, team)
@@ -185,24 +187,24 @@
 func (b *builder) addServices(team string, services map[string]*Service) error {
 	for name, service := range services {
 		if other, found := b.next.Services[name]; found {
-			return &ValueError{
-				Path: "/teams/" + team + "/services/" + name, Field: "name", Value: name,
-				Allowed: "a name that team " + other.Team + " does not use",
-			}
+			return nameConflict("/teams/"+team+"/services/"+name, name, other.Team)
 		}
 		b.next.Services[name] = service
 	}
 	return nil
 }
 
-func (b *builder) compileLimits(t *subtree) error {
+func (b *builder) compileSystem(t *subtree) error {
 	values, err := t.decodeExceptRoutes(nil)
 	if err != nil {
 		return err
 	}
-	b.next.Limits = Limits{}
+	b.next.Limits, b.next.IgnoredEntries = Limits{}, nil
 	for _, e := range values {
-		if v, ok := e.message.(*wirepb.LimitsSetting); ok {
+		switch v := e.message.(type) {
+		case *structpb.ListValue:
+			b.next.IgnoredEntries = ignoredEntries(v)
+		case *wirepb.LimitsSetting:
 			b.next.Limits = Limits{
 				MaxHeaderBytes: int(v.GetHeaderBytes()), MaxBodyBytes: int64(v.GetBodyBytes()),
 				HeaderTimeout: v.GetHeaderTimeout().AsDuration(), IdleTimeout: v.GetIdleTimeout().AsDuration(),
@@ -238,6 +240,10 @@
 	return count
 }
 
+func nameConflict(pathText, name, otherTeam string) error {
+	return &ValueError{Path: pathText, Field: "name", Value: name, Allowed: "a name that team " + otherTeam + " does not use"}
+}
+
 func prefixConflict(route, other *Route) error {
 	return &ValueError{
 		Path: "/teams/" + route.Team + "/routes/" + route.Name, Field: "path_prefix", Value: route.PathPrefix,
--- a/internal/tree/edit.go
+++ b/internal/tree/edit.go
@@ -60,7 +60,7 @@
 }
 
 func mayWrite(author string, path Path) bool {
-	if path.Kind == KindMoveRecord {
+	if path.Kind == KindMoveRecord || path.Kind == KindIgnored {
 		return false
 	}
 	if path.Kind == KindLimits {
--- /dev/null
+++ b/internal/tree/outline.go
@@ -0,0 +1,136 @@
+package tree
+
+import (
+	"strconv"
+	"strings"
+	"unicode"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/structpb"
+
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+)
+
+// Outline is what of an entry determines whether it fits into a tree with other entries.
+type Outline struct {
+	pathText string
+	path     Path
+	// route holds name, team, host and prefix of a route, services the services that it refers to.
+	route    *Route
+	services []string
+}
+
+// Path returns the path of the entry.
+func (o Outline) Path() string { return o.pathText }
+
+// NewOutline decodes and checks the value of a path; it returns *PathError or *ValueError.
+func NewOutline(pathText, value string) (Outline, error) {
+	path, message, err := Decode(pathText, value)
+	if err != nil {
+		return Outline{}, err
+	}
+	o := Outline{pathText: pathText, path: path}
+	if setting, isRoute := message.(*wirepb.RouteSetting); isRoute {
+		o.route = &Route{Name: path.Name, Team: path.Team, Host: setting.GetHost(), PathPrefix: setting.GetPathPrefix()}
+		o.services = serviceNames(setting)
+	}
+	return o, nil
+}
+
+// Misfits returns the reasons, by path, why entries of a team's new declaration cannot be in one tree with those before them in the list
+// and with the entries of other teams. Without them, the tree is valid.
+func (s *State) Misfits(team string, outlines []Outline) map[string]error {
+	misfits, services := map[string]error{}, map[string]bool{}
+	for _, o := range outlines {
+		if o.path.Kind != KindService {
+			continue
+		}
+		if other, found := s.Services[o.path.Name]; found && other.Team != team {
+			misfits[o.pathText] = nameConflict(o.pathText, o.path.Name, other.Team)
+			continue
+		}
+		services[o.path.Name] = true
+	}
+	foreign, byMatchKey := s.routesOfOtherTeams(team), make(map[string]*Route, len(outlines))
+	for _, o := range outlines {
+		if o.route == nil {
+			continue
+		}
+		if err := o.checkRoute(services, byMatchKey, foreign); err != nil {
+			misfits[o.pathText] = err
+			continue
+		}
+		byMatchKey[o.route.matchKey()] = o.route
+	}
+	return misfits
+}
+
+func (o Outline) checkRoute(services map[string]bool, byMatchKey map[string]*Route, foreign []*Route) error {
+	for _, name := range o.services {
+		if !services[name] {
+			return unknownServiceError(o.path.Team, o.pathText, name)
+		}
+	}
+	if other, found := byMatchKey[o.route.matchKey()]; found {
+		return prefixConflict(o.route, other)
+	}
+	for _, other := range foreign {
+		if other.Host == o.route.Host && (underPrefix(other.PathPrefix, o.route.PathPrefix) || underPrefix(o.route.PathPrefix, other.PathPrefix)) {
+			return prefixConflict(o.route, other)
+		}
+	}
+	return nil
+}
+
+func (s *State) routesOfOtherTeams(team string) []*Route {
+	var routes []*Route
+	for name, t := range s.subtrees {
+		if name == team {
+			continue
+		}
+		for _, r := range t.routes {
+			routes = append(routes, r)
+		}
+	}
+	return routes
+}
+
+// IgnoredPut returns the put that lists ignored entries, each text shortened and the list cut to 32; it returns *ValueError.
+func IgnoredPut(texts []string) (*wirepb.Put, error) {
+	list := &structpb.ListValue{}
+	for i, text := range texts {
+		if i == maxIgnored-1 && len(texts) > maxIgnored {
+			text = "and " + strconv.Itoa(len(texts)-i) + " more"
+		}
+		list.Values = append(list.Values, structpb.NewStringValue(PrintableText(text)))
+		if len(list.Values) == maxIgnored {
+			break
+		}
+	}
+	value, err := protojson.Marshal(list)
+	if err != nil {
+		return nil, &ValueError{Path: IgnoredPath, Field: "value", Value: strconv.Itoa(len(texts)) + " texts", Allowed: err.Error()}
+	}
+	return &wirepb.Put{Path: IgnoredPath, Value: string(value)}, nil
+}
+
+// PrintableText returns a text of at most 200 bytes without characters that cannot be printed, for texts that may hold any input.
+func PrintableText(text string) string {
+	if len(text) > maxIgnoredBytes {
+		text = text[:maxIgnoredBytes]
+	}
+	return strings.Map(func(r rune) rune {
+		if r == unicode.ReplacementChar || !unicode.IsPrint(r) {
+			return '?'
+		}
+		return r
+	}, text)
+}
+
+func ignoredEntries(list *structpb.ListValue) []string {
+	texts := make([]string, 0, len(list.GetValues()))
+	for _, v := range list.GetValues() {
+		texts = append(texts, v.GetStringValue())
+	}
+	return texts
+}
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -7,7 +7,7 @@
 
 const (
 	maxPathBytes = 200
-	allowedPaths = "/system/limits, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -"
+	allowedPaths = "/system/limits, /system/ignored, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -"
 )
 
 // systemTeam stands for the team of paths that belong to no team; ParsePath accepts no services, routes or moves under it.
@@ -16,6 +16,9 @@
 // LimitsPath is the path of the limits on callers' requests.
 const LimitsPath = "/system/limits"
 
+// IgnoredPath is the path of the list of the entries of the operator's configuration that were left out.
+const IgnoredPath = "/system/ignored"
+
 // Kind is the kind of value at a path.
 type Kind int
 
@@ -29,6 +32,8 @@
 	// KindMoveRecord is the progress of a move, which nodes write.
 	KindMoveRecord
 	KindLimits
+	// KindIgnored is the list of the entries of the operator's configuration that were left out, which nodes write.
+	KindIgnored
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
@@ -58,6 +63,8 @@
 	switch {
 	case len(parts) == 2 && parts[0] == "system" && parts[1] == "limits":
 		return Path{Kind: KindLimits, Team: systemTeam}, true
+	case len(parts) == 2 && parts[0] == "system" && parts[1] == "ignored":
+		return Path{Kind: KindIgnored, Team: systemTeam}, true
 	case len(parts) == 3 && parts[0] == "system" && parts[1] == "moves":
 		return Path{Kind: KindMoveRecord, Name: parts[2]}, true
 	case len(parts) == 3 && parts[0] == "teams" && parts[2] == "access":
@@ -72,7 +79,7 @@
 
 func (p Path) hasValidNames() bool {
 	team := p.Kind == KindMoveRecord || namePattern.MatchString(p.Team)
-	name := p.Kind == KindAccess || p.Kind == KindLimits || namePattern.MatchString(p.Name)
+	name := p.Kind == KindAccess || p.Kind == KindLimits || p.Kind == KindIgnored || namePattern.MatchString(p.Name)
 	return team && name
 }
 
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -78,6 +78,8 @@
 	// OperatorConfigVersion is the version of the operator row whose configuration the state contains, or 0.
 	OperatorConfigVersion uint64
 	Limits                Limits
+	// IgnoredEntries names the entries of the operator's configuration that were left out, each with the reason.
+	IgnoredEntries []string
 	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order for a move the state contains.
 	MoveOrderVersions map[string]uint64
 
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/structpb"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -33,6 +34,9 @@
 	maxAttempts          = 16
 	maxSplitServices     = 16
 	maxIdleTimeout       = time.Hour
+	// maxIgnored and maxIgnoredBytes bound the list of ignored entries, so that its value fits into maxValueBytes.
+	maxIgnored      = 32
+	maxIgnoredBytes = 200
 )
 
 var (
@@ -73,6 +77,8 @@
 		return &wirepb.MoveSetting{}
 	case KindLimits:
 		return &wirepb.LimitsSetting{}
+	case KindIgnored:
+		return &structpb.ListValue{}
 	default:
 		return &wirepb.MoveRecord{}
 	}
