--- a/internal/source/check.go
+++ b/internal/source/check.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/internal/tree"
@@ -60,8 +61,11 @@
 	}
 	values := maps.Clone(c.config.Values)
 	for _, faults := range []map[string]error{c.failures, c.misfits} {
-		for path := range faults {
-			delete(values, path)
+		for path, failure := range faults {
+			var shared *tree.SharedKeyError
+			if !errors.As(failure, &shared) {
+				delete(values, path)
+			}
 		}
 	}
 	put, err := tree.IgnoredPut(ignored)
--- a/internal/source/check_test.go
+++ b/internal/source/check_test.go
@@ -4,10 +4,14 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/turmericdale/turmericdale/internal/tree"
+	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 const (
@@ -73,3 +77,91 @@
 		require.Empty(t, log.State().IgnoredEntries)
 	})
 }
+
+// ownerOf returns the name of the workspace that a key identifies, or an empty string.
+func ownerOf(s *tree.State, key string) string {
+	if w := s.WorkspaceByKey(tree.HashKey(key)); w != nil {
+		return w.Name
+	}
+	return ""
+}
+
+// Guards against keys that identify the wrong workspace, that outlive their removal, or that appear in the tree.
+func TestWorkspacesOfTheConfiguration(t *testing.T) {
+	const tenants = `{"resource_kind":"tenants","metadata":{"name":%q},"specification":{"api_keys":[%s]}}`
+	f := newFixture(t)
+	log := f.start(0)
+	put := func(version int, entries ...string) *tree.State {
+		t.Helper()
+		f.platform.PutRow("op", "config", configOf(version, append([]string{goodEntries}, entries...)...))
+		f.waitFor(log, "configuration", func(s *tree.State) bool { return s.OperatorConfigVersion == f.configRowVersion() })
+		return log.State()
+	}
+	s := put(1, fmt.Sprintf(tenants, "a", `"key-1"`), fmt.Sprintf(tenants, "b", `"key-2"`))
+	require.Equal(t, []string{"a", "b"}, []string{ownerOf(s, "key-1"), ownerOf(s, "key-2")})
+	for _, e := range s.Entries("/") {
+		require.NotContains(t, e.GetValue(), "key-")
+	}
+	t.Run("a key is replaced", func(t *testing.T) {
+		s := put(2, fmt.Sprintf(tenants, "a", `"key-3"`), fmt.Sprintf(tenants, "b", `"key-2"`))
+		require.Equal(t, []string{"", "a", "b"}, []string{ownerOf(s, "key-1"), ownerOf(s, "key-3"), ownerOf(s, "key-2")})
+	})
+	t.Run("a key of two workspaces identifies neither", func(t *testing.T) {
+		s := put(3, fmt.Sprintf(tenants, "a", `"key-1","key-2"`), fmt.Sprintf(tenants, "b", `"key-2","key-4"`))
+		require.Equal(t, []string{"a", "", "b"}, []string{ownerOf(s, "key-1"), ownerOf(s, "key-2"), ownerOf(s, "key-4")})
+		require.Len(t, s.IgnoredEntries, 1)
+		require.Contains(t, s.IgnoredEntries[0], "workspaces/b")
+		require.NotContains(t, s.IgnoredEntries[0], "key-")
+	})
+	t.Run("none can be read", func(t *testing.T) {
+		s := put(4, fmt.Sprintf(tenants, "a", `1`), `{"resource_kind":"tenants"}`)
+		require.Len(t, s.Workspaces, 2, "workspaces count as declared")
+		require.Empty(t, ownerOf(s, "key-1"))
+		require.Len(t, s.IgnoredEntries, 2)
+	})
+	t.Run("none are declared any more", func(t *testing.T) {
+		require.Empty(t, put(5).Workspaces)
+	})
+}
+
+// Guards against any configuration that the tree refuses whole: every combination of entries must apply, on every state.
+func TestEveryConfigurationApplies(t *testing.T) {
+	foreign, err := tree.EmptyState().Apply(&wirepb.Change{Revision: 1, Puts: []*wirepb.Put{
+		{Path: "/teams/other/services/one", Value: "{}"},
+		{Path: "/teams/other/workspaces/w", Value: "{}"},
+		{Path: "/teams/other/routes/r", Value: `{"path_prefix": "/a/b", "service": "one"}`},
+	}})
+	require.NoError(t, err)
+	names := rapid.SampledFrom([]string{"", "one", "two", "w", "Odd_Name", strings.Repeat("Long", 30)})
+	draw := func(r *rapid.T) string {
+		name, other := names.Draw(r, "name"), names.Draw(r, "other")
+		prefix := rapid.SampledFrom([]string{"", "a", "/", "/a", "/a/b", "/a/b/c", "/z"}).Draw(r, "prefix")
+		timeout := rapid.SampledFrom([]string{`"1s"`, `""`, `"0s"`, `"1h"`, `5`, `"-1s"`}).Draw(r, "timeout")
+		field := rapid.SampledFrom([]string{`1`, `-1`, `"k"`, `null`, `["k"]`, `["k","j"]`, `{}`, `1e7`}).Draw(r, "field")
+		return rapid.SampledFrom([]string{
+			fmt.Sprintf(`{"resource_kind":"services","metadata":{"name":%q},"specification":{"max_connections":%s}}`, name, field),
+			fmt.Sprintf(`{"resource_kind":"routes","metadata":{"name":%q},"specification":{"prefix":%q,"kind":"safe","timeout":%s,"service":%q}}`, name, prefix, timeout, other),
+			fmt.Sprintf(`{"resource_kind":"routes","metadata":{"name":%q},"specification":{"prefix":%q,"traffic_split":[{"service":%q,"weight":1},{"service":"two","weight":%s}]}}`, name, prefix, other, field),
+			fmt.Sprintf(`{"resource_kind":"tenants","metadata":{"name":%q},"specification":{"api_keys":%s}}`, name, field),
+			fmt.Sprintf(`{"resource_kind":"limits","metadata":{},"specification":{"max_header_bytes":%s,"idle_timeout":%s}}`, field, timeout),
+			fmt.Sprintf(`{"resource_kind":%s,"metadata":%s,"specification":%s}`, field, field, field),
+			field,
+		}).Draw(r, "entry")
+	}
+	rapid.Check(t, func(r *rapid.T) {
+		i, state := New(Config{}), rapid.SampledFrom([]*tree.State{tree.EmptyState(), foreign}).Draw(r, "state")
+		i.cfg.Now = func() time.Time { return time.Time{} }
+		for version := range rapid.IntRange(1, 6).Draw(r, "configurations") {
+			row := &wirepb.Row{Key: "config", Version: uint64(version + 1), Value: configOf(version, rapid.SliceOfN(rapid.Custom(draw), 0, 8).Draw(r, "entries")...)}
+			require.True(r, platform.IsConfig(row))
+			build, err := i.buildFunc(row)
+			require.NoError(r, err)
+			change, err := build(state)
+			require.NoError(r, err)
+			next, err := state.Apply(change)
+			require.NoError(r, err)
+			require.LessOrEqual(r, len(next.IgnoredEntries), 32)
+			state = next
+		}
+	})
+}
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -263,7 +263,8 @@
 
 // isOperatorPath reports whether a path is one that the operator's configuration sets.
 func isOperatorPath(path string) bool {
-	return path == tree.LimitsPath || path == tree.IgnoredPath || strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/routes/") || strings.HasPrefix(path, servicePrefix)
+	return path == tree.LimitsPath || path == tree.IgnoredPath || strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/routes/") || strings.HasPrefix(path, servicePrefix) ||
+		strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/workspaces/")
 }
 
 const servicePrefix = "/teams/" + platform.OperatorTeam + "/services/"
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -18,12 +18,15 @@
 	changed map[string]map[string]decodedEntry
 	// prefixAdded says that a team got a path prefix that it did not have.
 	prefixAdded bool
+	// workspacesChanged says that workspaces were put or removed.
+	workspacesChanged bool
 }
 
 func newBuilder(s *State) *builder {
 	return &builder{
 		next: &State{
 			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, entryCount: s.entryCount, Services: maps.Clone(s.Services),
+			Workspaces: s.Workspaces, workspacesByKey: s.workspacesByKey,
 			IgnoredEntries: s.IgnoredEntries, MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
 		},
 		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
@@ -125,6 +128,12 @@
 		}
 	}
 	clear(b.changed)
+	if b.workspacesChanged {
+		b.workspacesChanged = false
+		if err := b.next.indexWorkspaces(); err != nil {
+			return err
+		}
+	}
 	if !b.prefixAdded {
 		return nil
 	}
@@ -147,6 +156,10 @@
 			b.removeRoute(r, previousTeams)
 			delete(t.routes, pathText)
 		}
+		if _, found := t.workspaces[pathText]; found {
+			delete(t.workspaces, pathText)
+			b.workspacesChanged = true
+		}
 	}
 }
 
@@ -169,6 +182,9 @@
 	if err != nil {
 		return err
 	}
+	for _, e := range entries {
+		b.workspacesChanged = b.workspacesChanged || e.path.Kind == KindWorkspace
+	}
 	if changesServices(entries) {
 		if err := b.addServices(team, t.services); err != nil {
 			return err
--- a/internal/tree/errors.go
+++ b/internal/tree/errors.go
@@ -24,6 +24,16 @@
 	return fmt.Sprintf("%s: field %s has value %q: must be %s", e.Path, e.Field, e.Value, e.Allowed)
 }
 
+// SharedKeyError says that workspaces have a key in common, which therefore identifies none of them.
+type SharedKeyError struct {
+	Path  string
+	Other string
+}
+
+func (e *SharedKeyError) Error() string {
+	return fmt.Sprintf("%s: a key is also one of %s: it identifies no workspace", e.Path, e.Other)
+}
+
 // AccessError says that the author may not write or read a path.
 type AccessError struct {
 	Path   string
--- a/internal/tree/outline.go
+++ b/internal/tree/outline.go
@@ -18,6 +18,8 @@
 	// route holds name, team, host and prefix of a route, services the services that it refers to.
 	route    *Route
 	services []string
+	// keys holds the keys of a workspace.
+	keys []KeyHash
 }
 
 // Path returns the path of the entry.
@@ -30,26 +32,34 @@
 		return Outline{}, err
 	}
 	o := Outline{pathText: pathText, path: path}
-	if setting, isRoute := message.(*wirepb.RouteSetting); isRoute {
-		o.route = &Route{Name: path.Name, Team: path.Team, Host: setting.GetHost(), PathPrefix: setting.GetPathPrefix()}
-		o.services = serviceNames(setting)
+	switch v := message.(type) {
+	case *wirepb.RouteSetting:
+		o.route = &Route{Name: path.Name, Team: path.Team, Host: v.GetHost(), PathPrefix: v.GetPathPrefix()}
+		o.services = serviceNames(v)
+	case *wirepb.WorkspaceSetting:
+		o.keys = keyHashes(v)
 	}
 	return o, nil
 }
 
 // Misfits returns the reasons, by path, why entries of a team's new declaration cannot be in one tree with those before them in the list
-// and with the entries of other teams. Without them, the tree is valid.
+// and with the entries of other teams. Without them, the tree is valid. A *SharedKeyError does not make it invalid.
 func (s *State) Misfits(team string, outlines []Outline) map[string]error {
 	misfits, services := map[string]error{}, map[string]bool{}
+	holders := map[KeyHash]string{}
 	for _, o := range outlines {
-		if o.path.Kind != KindService {
-			continue
-		}
-		if other, found := s.Services[o.path.Name]; found && other.Team != team {
-			misfits[o.pathText] = nameConflict(o.pathText, o.path.Name, other.Team)
-			continue
+		switch o.path.Kind {
+		case KindService:
+			if other, found := s.Services[o.path.Name]; found && other.Team != team {
+				misfits[o.pathText] = nameConflict(o.pathText, o.path.Name, other.Team)
+				continue
+			}
+			services[o.path.Name] = true
+		case KindWorkspace:
+			if err := o.checkWorkspace(s.Workspaces[o.path.Name], holders); err != nil {
+				misfits[o.pathText] = err
+			}
 		}
-		services[o.path.Name] = true
 	}
 	foreign, byMatchKey := s.routesOfOtherTeams(team), make(map[string]*Route, len(outlines))
 	for _, o := range outlines {
@@ -65,6 +75,21 @@
 	return misfits
 }
 
+// checkWorkspace checks a workspace against one of the same name in the state and against those before it, whose paths are in holders.
+func (o Outline) checkWorkspace(current *Workspace, holders map[KeyHash]string) error {
+	if current != nil && current.Team != o.path.Team {
+		return nameConflict(o.pathText, o.path.Name, current.Team)
+	}
+	var err error
+	for _, key := range o.keys {
+		if other, found := holders[key]; found && other != o.pathText {
+			err = &SharedKeyError{Path: o.pathText, Other: other}
+		}
+		holders[key] = o.pathText
+	}
+	return err
+}
+
 func (o Outline) checkRoute(services map[string]bool, byMatchKey map[string]*Route, foreign []*Route) error {
 	for _, name := range o.services {
 		if !services[name] {
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -7,7 +7,7 @@
 
 const (
 	maxPathBytes = 200
-	allowedPaths = "/system/limits, /system/ignored, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -"
+	allowedPaths = "/system/limits, /system/ignored, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME, /teams/TEAM/workspaces/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -, those of workspaces of up to 160"
 )
 
 // systemTeam stands for the team of paths that belong to no team; ParsePath accepts no services, routes or moves under it.
@@ -34,9 +34,14 @@
 	KindLimits
 	// KindIgnored is the list of the entries of the operator's configuration that were left out, which nodes write.
 	KindIgnored
+	KindWorkspace
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+	// workspaceNamePattern has room for a hex-encoded name of 78 bytes, since upstreams receive the names of workspaces.
+	workspaceNamePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,159}$`)
+)
 
 // Path is a parsed path of the tree.
 type Path struct {
@@ -72,13 +77,16 @@
 	case len(parts) != 4 || parts[0] != "teams", parts[1] == systemTeam:
 		return Path{}, false
 	}
-	kinds := map[string]Kind{"services": KindService, "routes": KindRoute, "moves": KindMove}
+	kinds := map[string]Kind{"services": KindService, "routes": KindRoute, "moves": KindMove, "workspaces": KindWorkspace}
 	kind, found := kinds[parts[2]]
 	return Path{Kind: kind, Team: parts[1], Name: parts[3]}, found
 }
 
 func (p Path) hasValidNames() bool {
 	team := p.Kind == KindMoveRecord || namePattern.MatchString(p.Team)
+	if p.Kind == KindWorkspace {
+		return team && workspaceNamePattern.MatchString(p.Name)
+	}
 	name := p.Kind == KindAccess || p.Kind == KindLimits || p.Kind == KindIgnored || namePattern.MatchString(p.Name)
 	return team && name
 }
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -49,6 +49,8 @@
 	Attempts int
 	// Priority ranks calls while upstreams are overloaded; 0 is the highest.
 	Priority uint32
+	// Public says that callers need no key, although workspaces are declared.
+	Public bool
 	// Split lists the services that share the calls of a split route; Service is the first of them.
 	Split []WeightedService
 }
@@ -80,18 +82,22 @@
 	Limits                Limits
 	// IgnoredEntries names the entries of the operator's configuration that were left out, each with the reason.
 	IgnoredEntries []string
+	// Workspaces holds the workspaces by name. If there are any, calls of routes that are not public need a key of one of them.
+	Workspaces map[string]*Workspace
 	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order for a move the state contains.
 	MoveOrderVersions map[string]uint64
 
 	// subtrees holds the subtrees by team.
 	subtrees         map[string]*subtree
 	routesByMatchKey map[string]*Route
-	entryCount       int
+	// workspacesByKey holds nil for a key that several workspaces have.
+	workspacesByKey map[KeyHash]*Workspace
+	entryCount      int
 }
 
 // EmptyState returns the state of revision 0.
 func EmptyState() *State {
-	return &State{Services: map[string]*Service{}, subtrees: map[string]*subtree{}, routesByMatchKey: map[string]*Route{}, MoveOrderVersions: map[string]uint64{}}
+	return &State{Services: map[string]*Service{}, subtrees: map[string]*subtree{}, routesByMatchKey: map[string]*Route{}, MoveOrderVersions: map[string]uint64{}, Workspaces: map[string]*Workspace{}, workspacesByKey: map[KeyHash]*Workspace{}}
 }
 
 // FromSnapshot compiles a whole snapshot; it returns *PathError, *ValueError or *LimitError.
--- a/internal/tree/subtree.go
+++ b/internal/tree/subtree.go
@@ -20,7 +20,9 @@
 	services map[string]*Service
 	// routes holds the routes by the paths of their entries.
 	routes map[string]*Route
-	tokens []string
+	// workspaces holds the workspaces by the paths of their entries.
+	workspaces map[string]*Workspace
+	tokens     []string
 }
 
 // decodedEntry is an entry with its decoded value; the message is nil if the entry was removed.
@@ -30,10 +32,11 @@
 	message  proto.Message
 }
 
-// changesServices reports whether any of the entries is not a route: those determine the services to which all routes refer.
+// changesServices reports whether any of the entries is neither a route nor a workspace: those determine the services to which all routes
+// refer.
 func changesServices(entries map[string]decodedEntry) bool {
 	for _, e := range entries {
-		if e.path.Kind != KindRoute {
+		if e.path.Kind != KindRoute && e.path.Kind != KindWorkspace {
 			return true
 		}
 	}
@@ -42,9 +45,11 @@
 
 func (t *subtree) clone() *subtree {
 	if t == nil {
-		return &subtree{entries: map[string]*wirepb.Entry{}, routes: map[string]*Route{}}
+		return &subtree{entries: map[string]*wirepb.Entry{}, routes: map[string]*Route{}, workspaces: map[string]*Workspace{}}
+	}
+	return &subtree{
+		entries: maps.Clone(t.entries), services: t.services, routes: maps.Clone(t.routes), workspaces: maps.Clone(t.workspaces), tokens: t.tokens,
 	}
-	return &subtree{entries: maps.Clone(t.entries), services: t.services, routes: maps.Clone(t.routes), tokens: t.tokens}
 }
 
 // compile builds what the changed entries determine, checks that all references lead to services of the same team, and returns the
@@ -64,6 +69,9 @@
 		}
 	}
 	for pathText, e := range changed {
+		if setting, isWorkspace := e.message.(*wirepb.WorkspaceSetting); isWorkspace {
+			t.workspaces[pathText] = newWorkspace(e.path, setting)
+		}
 		setting, isRoute := e.message.(*wirepb.RouteSetting)
 		if !isRoute {
 			continue
@@ -80,7 +88,7 @@
 	return added, nil
 }
 
-// decodeExceptRoutes decodes all entries but the routes, unless they are among those that have been decoded. Messages are not kept,
+// decodeExceptRoutes decodes all entries but the routes and workspaces, unless they are among those that have been decoded. Messages are not kept,
 // since their memory costs more than decoding them again.
 func (t *subtree) decodeExceptRoutes(decoded map[string]decodedEntry) ([]decodedEntry, error) {
 	var values []decodedEntry
@@ -89,7 +97,7 @@
 			values = append(values, e)
 			continue
 		}
-		if t.routes[pathText] != nil {
+		if t.routes[pathText] != nil || t.workspaces[pathText] != nil {
 			continue
 		}
 		path, message, err := Decode(pathText, entry.GetValue())
@@ -187,7 +195,7 @@
 		Idempotent: setting.GetIdempotent(), AtMostOnce: setting.GetAtMostOnce(),
 		Timeout: timeout, ClaimPolicy: setting.GetClaimPolicy(), Host: setting.GetHost(),
 		LatencyObjective: durationOr(setting.GetObjective(), timeout), Attempts: int(setting.GetAttempts()),
-		Priority: priorityOf(setting), Service: services[serviceNames(setting)[0]],
+		Priority: priorityOf(setting), Public: setting.GetPublic(), Service: services[serviceNames(setting)[0]],
 	}
 	if r.Attempts == 0 {
 		r.Attempts = defaultAttempts
@@ -206,10 +214,14 @@
 	case setting.Priority == nil:
 		return wirepb.Class_CLASS_NORMAL
 	default:
-		return max(wirepb.Class_CLASS_CRITICAL-wirepb.Class(min(setting.GetPriority(), lowestClassPriority)), wirepb.Class_CLASS_BROWSE)
+		return classOfPriority(setting.GetPriority())
 	}
 }
 
+func classOfPriority(priority uint32) wirepb.Class {
+	return max(wirepb.Class_CLASS_CRITICAL-wirepb.Class(min(priority, lowestClassPriority)), wirepb.Class_CLASS_BROWSE)
+}
+
 // priorityOf returns the declared priority, or the one that corresponds to the class.
 func priorityOf(setting *wirepb.RouteSetting) uint32 {
 	if setting.Priority != nil {
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -244,6 +244,7 @@
 		name := rapid.SampledFrom([]string{"a", "b"}).Draw(r, "name")
 		prefix := rapid.SampledFrom([]string{"/", "/a", "/a/b", "/a/b/c"}).Draw(r, "prefix")
 		version := rapid.SampledFrom([]string{"v1", "v2"}).Draw(r, "version")
+		key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "key")
 		return rapid.SampledFrom([]*wirepb.Put{
 			{Path: "/teams/" + team + "/access", Value: fmt.Sprintf(`{"token_sha256": [%q]}`, strings.Repeat(name, 64))},
 			{Path: "/teams/" + team + "/services/" + name, Value: fmt.Sprintf(`{"version": %q}`, version)},
@@ -252,6 +253,8 @@
 			{Path: "/teams/" + team + "/services/" + name, Delete: true},
 			{Path: "/teams/" + team + "/routes/" + name, Delete: true},
 			{Path: MoveRecordPath(name), Delete: true},
+			{Path: "/teams/" + team + "/workspaces/" + name, Value: fmt.Sprintf(`{"key_sha256": [%q], "priority": 2}`, strings.Repeat(key, 64))},
+			{Path: "/teams/" + team + "/workspaces/" + name, Delete: true},
 		}).Draw(r, "put")
 	}
 	rapid.Check(t, func(r *rapid.T) {
@@ -305,6 +308,8 @@
 	require.Equal(t, protojson.Format(want.Snapshot()), protojson.Format(got.Snapshot()))
 	require.Equal(t, want.entryCount, got.entryCount)
 	require.Equal(t, want.TeamsWithTokens(), got.TeamsWithTokens())
+	require.Equal(t, want.Workspaces, got.Workspaces)
+	require.Equal(t, want.workspacesByKey, got.workspacesByKey)
 	require.Len(t, got.Services, len(want.Services))
 	for name, service := range want.Services {
 		require.Equal(t, service.Team, got.Services[name].Team)
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -34,6 +34,8 @@
 	maxAttempts          = 16
 	maxSplitServices     = 16
 	maxIdleTimeout       = time.Hour
+	maxWorkspaceKeys     = 64
+	maxWorkspaceRate     = 1_000_000
 	// maxIgnored and maxIgnoredBytes bound the list of ignored entries, so that its value fits into maxValueBytes.
 	maxIgnored      = 32
 	maxIgnoredBytes = 200
@@ -77,6 +79,8 @@
 		return &wirepb.MoveSetting{}
 	case KindLimits:
 		return &wirepb.LimitsSetting{}
+	case KindWorkspace:
+		return &wirepb.WorkspaceSetting{}
 	case KindIgnored:
 		return &structpb.ListValue{}
 	default:
@@ -98,6 +102,8 @@
 		return checkRecord(m)
 	case *wirepb.LimitsSetting:
 		return checkLimits(m)
+	case *wirepb.WorkspaceSetting:
+		return checkWorkspace(m)
 	default:
 		return nil
 	}
@@ -108,14 +114,29 @@
 	if len(hashes) == 0 || len(hashes) > maxTokens {
 		return &ValueError{Field: "token_sha256", Value: strconv.Itoa(len(hashes)) + " hashes", Allowed: "1 to 8 hashes"}
 	}
+	return checkHashes("token_sha256", hashes)
+}
+
+func checkHashes(field string, hashes []string) *ValueError {
 	for _, h := range hashes {
 		if raw, err := hex.DecodeString(h); err != nil || len(raw) != tokenHashBytes {
-			return &ValueError{Field: "token_sha256", Value: shorten(h), Allowed: "64 hexadecimal digits"}
+			return &ValueError{Field: field, Value: shorten(h), Allowed: "64 hexadecimal digits"}
 		}
 	}
 	return nil
 }
 
+func checkWorkspace(m *wirepb.WorkspaceSetting) *ValueError {
+	switch {
+	case len(m.GetKeySha256()) > maxWorkspaceKeys:
+		return &ValueError{Field: "key_sha256", Value: strconv.Itoa(len(m.GetKeySha256())) + " hashes", Allowed: "at most 64 hashes"}
+	case !(m.GetRate() >= 0 && m.GetRate() <= maxWorkspaceRate):
+		return &ValueError{Field: "rate", Value: strconv.FormatFloat(m.GetRate(), 'g', -1, 64), Allowed: "0 to 1000000"}
+	default:
+		return checkHashes("key_sha256", m.GetKeySha256())
+	}
+}
+
 func checkService(m *wirepb.ServiceSetting) *ValueError {
 	if failure := checkVersion(m.GetVersion()); failure != nil && m.GetVersion() != "" {
 		return failure
