--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -333,12 +333,30 @@
 	if name := u.headers.GetCallerService(); name != "" {
 		request.Header.Set(name, head.GetOrigin())
 	}
+	u.setWorkspace(request, head.GetWorkspace())
 	if request.Header.Get("User-Agent") == "" {
 		// An empty value keeps net/http from adding its default User-Agent.
 		request.Header.Set("User-Agent", "")
 	}
 }
 
+// setWorkspace names the caller's workspace. If there is none although workspaces are declared, it removes the header: the caller's node,
+// which also does so, may not know yet that they are.
+func (u *upstream) setWorkspace(request *http.Request, workspace string) {
+	if workspace == "" && !u.workspacesDeclared() {
+		return
+	}
+	request.Header.Del("Authorization")
+	name := u.headers.GetWorkspace()
+	if name == "" {
+		return
+	}
+	request.Header.Del(name)
+	if workspace != "" {
+		request.Header.Set(name, workspace)
+	}
+}
+
 func encodeHeaders(header http.Header) []*wirepb.Header {
 	list := make([]*wirepb.Header, 0, len(header))
 	for name, values := range header {
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -88,6 +88,8 @@
 	AnnounceInterval time.Duration
 	// CheckExposure returns why an upstream may not get a further call now, or REFUSAL_UNSPECIFIED if it may.
 	CheckExposure func(exposure Exposure) wirepb.Refusal
+	// WorkspacesDeclared reports whether workspaces are declared: only nodes may then name one to an upstream. Nil means that none are.
+	WorkspacesDeclared func() bool
 	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
 	// call ends.
 	Observe func(started Observation) (end func(ended Observation))
@@ -129,6 +131,9 @@
 	if cfg.Headers == nil {
 		cfg.Headers = DefaultHeaders()
 	}
+	if cfg.WorkspacesDeclared == nil {
+		cfg.WorkspacesDeclared = func() bool { return false }
+	}
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -32,6 +32,7 @@
 	"github.com/turmericdale/turmericdale/internal/source"
 	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 // New builds a node from its settings and opens its listeners.
@@ -160,7 +161,8 @@
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
-		Observe: monitor.Observe,
+		WorkspacesDeclared: func() bool { return len(log.State().Workspaces) > 0 },
+		Observe:            monitor.Observe,
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
@@ -202,7 +204,12 @@
 func newProxy(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
 	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table, hub *relay.Hub,
 ) *route.Proxy {
+	revoke := time.Duration(0)
+	if s.StrictRevocation {
+		revoke = s.Revoke
+	}
 	return route.New(route.Config{
+		Revoke: revoke, WorkspaceName: platform.WorkspaceName,
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
 		RetryBudget: route.RetryBudgetConfig{
 			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: float64(s.RetrySlack), CountNodes: members.LiveCount, Now: now,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -89,6 +90,13 @@
 	m.RegisterGauge("applied_revision", "Revision of the configuration in force.", func() float64 { return float64(n.log.State().Revision) })
 	m.RegisterGauge("configuration_age_seconds", "Bound of how old the configuration in force is.", func() float64 { return n.hub.Age().Seconds() })
 	m.RegisterGauge("ignored_entries", "Entries of the operator's configuration that were left out, up to 32.", func() float64 { return float64(len(n.log.State().IgnoredEntries)) })
+	m.RegisterGauge("workspaces", "Workspaces that the configuration declares.", func() float64 { return float64(len(n.log.State().Workspaces)) })
+	const unauthenticatedHelp = "Requests refused for lack of a valid key, by result."
+	for result, count := range map[string]*atomic.Int64{
+		"denied": &n.proxy.Counters.Unauthenticated, "out_of_touch": &n.proxy.Counters.OutOfTouch, "revocable": &n.proxy.Counters.Revoked,
+	} {
+		m.RegisterCounter("unauthenticated_total", unauthenticatedHelp, map[string]string{"result": result}, func() float64 { return float64(count.Load()) })
+	}
 	m.RegisterGauge("known_revision", "Newest revision heard of.", func() float64 { return float64(n.log.KnownRevision()) })
 	m.RegisterGauge("members", "Nodes that are not down.", func() float64 { return float64(n.members.LiveCount()) })
 	m.RegisterGauge("links", "Links to other nodes.", func() float64 { return float64(n.hub.LinkCount()) })
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -33,6 +33,9 @@
 // the limit of an upstream allows another call, if that is the reason. Any other refusal no longer applies once the nodes have
 // received the change that caused it.
 func retryAfter(answer *wirepb.AnswerHead, left, objectiveLeft time.Duration) string {
+	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_QUOTA {
+		return quotaRetryAfter(answer)
+	}
 	soon := shortRetryDelay/2 + rand.N(shortRetryDelay)
 	if answer.GetRefusal() != wirepb.Refusal_REFUSAL_OVERLOADED {
 		return formatSeconds(soon)
@@ -60,7 +63,7 @@
 		p.writeUpstreamResponse(w, answer)
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
 		w.Header().Set("Retry-After", retryAfter(answer, left, objectiveLeft))
-		writeFailure(w, http.StatusServiceUnavailable, &wirepb.Failure{
+		writeFailure(w, refusalStatus(answer), &wirepb.Failure{
 			Kind: refusalKind(answer.GetRefusal()), Message: answer.GetDetail(), NotRun: true,
 		})
 	default:
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -29,7 +29,7 @@
 		p.retryBudget.charge(c.service.Name)
 	}
 	t := newTries(c)
-	throttled := throttleKey{service: c.service.Name, class: c.route.Class}
+	throttled := throttleKey{service: c.service.Name, class: c.head.GetClass()}
 	overloadTries := p.throttle.admit(throttled)
 	if overloadTries == 0 {
 		t.refused.Refusal = wirepb.Refusal_REFUSAL_OVERLOADED
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -67,6 +67,13 @@
 	ReceivedAt func(r *http.Request) time.Time
 	// ConfigurationAge returns a bound of how old the configuration is; nil means that it is current.
 	ConfigurationAge func() time.Duration
+	// Revoke is the age of the configuration from which requests that need a key are refused, since it may have been revoked; zero means
+	// that they are served whatever the age.
+	Revoke time.Duration
+	// WorkspaceName returns the name by which upstreams know a workspace of the tree; nil means that names are the same.
+	WorkspaceName func(name string) string
+	// Quota decides on a call of a workspace after its authentication, before it runs; nil means that there is no limit.
+	Quota func(ctx context.Context, w *tree.Workspace) QuotaDecision
 	// Stopping reports whether the node is stopping: running calls are then left to finish.
 	Stopping func() bool
 	// OnRetry is called for each retry.
@@ -75,6 +82,8 @@
 
 // Proxy serves callers' requests.
 type Proxy struct {
+	Counters Counters
+
 	cfg           Config
 	retryBudget   *retryBudget
 	throttle      *throttle
@@ -101,6 +110,9 @@
 	if cfg.ConfigurationAge == nil {
 		cfg.ConfigurationAge = func() time.Duration { return 0 }
 	}
+	if cfg.WorkspaceName == nil {
+		cfg.WorkspaceName = func(name string) string { return name }
+	}
 	if cfg.Stopping == nil {
 		cfg.Stopping = func() bool { return false }
 	}
@@ -115,29 +127,42 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	started := p.cfg.Now()
+	age := time.Duration(0)
+	if p.cfg.Revoke > 0 {
+		age = p.cfg.ConfigurationAge()
+	}
+	// A state that is read after its age is no older than that.
 	state := p.cfg.State()
 	if state.Revision == 0 {
 		p.refuseRequest(w, &RequestError{Status: http.StatusServiceUnavailable, Kind: "starting", Detail: "this node has no configuration yet"})
 		return
 	}
-	route := state.MatchRoute(requestHost(r), requestPath(r))
-	if route == nil {
-		// A state that is read after its age is no older than that.
-		age := p.cfg.ConfigurationAge()
+	m := matchRequest(state, r)
+	if m.isDenied() {
+		age = p.cfg.ConfigurationAge()
 		state = p.cfg.State()
-		if route = state.MatchRoute(requestHost(r), requestPath(r)); route == nil {
-			p.refuseWithoutRoute(w, r, state, age, started)
-			return
-		}
+		m = matchRequest(state, r)
 	}
-	c, err := p.newCall(w, r, route, started)
+	switch {
+	case m.route == nil:
+		p.refuseWithoutRoute(w, r, state, age, started)
+		return
+	case m.denial != "":
+		p.refuseUnauthenticated(w, r, m, state, age)
+		return
+	case p.cfg.Revoke > 0 && age > p.cfg.Revoke && m.needsKey():
+		p.refuseRevocable(w, r, m, state, age)
+		return
+	}
+	c, err := p.newCall(w, r, m, started)
 	if err != nil {
 		p.refuseRequest(w, err)
 		return
 	}
-	answer := p.serve(r.Context(), c)
-	p.cfg.Observe(route, answer.GetOutcome(), p.cfg.Now().Sub(started))
-	if answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED || answer.GetStatus() >= http.StatusInternalServerError {
+	answer := p.serveWithinQuota(r.Context(), c)
+	p.cfg.Observe(c.route, answer.GetOutcome(), p.cfg.Now().Sub(started))
+	failed := answer.GetOutcome() != wirepb.Outcome_OUTCOME_ANSWERED || answer.GetStatus() >= http.StatusInternalServerError
+	if failed && answer.GetRefusal() != wirepb.Refusal_REFUSAL_QUOTA {
 		p.cfg.Local.RecordOutboundFailure(c.service.Name)
 	}
 	p.logCall(c, state, answer)
@@ -194,6 +219,8 @@
 // call is the state of one call while it is served.
 type call struct {
 	route *tree.Route
+	// workspace is nil for a call without a key.
+	workspace *tree.Workspace
 	// service is the route's service, or the one that was drawn at random from a split route.
 	service *tree.Service
 	head    *wirepb.CallHead
@@ -208,7 +235,8 @@
 	fallbackUsed bool
 }
 
-func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request, route *tree.Route, started time.Time) (*call, *RequestError) {
+func (p *Proxy) newCall(w http.ResponseWriter, r *http.Request, m match, started time.Time) (*call, *RequestError) {
+	route := m.route
 	depth, failure := parseDepth(r.Header)
 	if failure != nil {
 		return nil, failure
@@ -231,15 +259,22 @@
 		return nil, failure
 	}
 	service := chooseService(route)
-	return &call{
-		route: route, service: service, started: started, objectiveEnd: started.Add(route.LatencyObjective - p.waits.estimate(route, left)), deadline: started.Add(timeout), idempotencyKey: key, depth: depth, tried: map[*stats]bool{},
+	c := &call{
+		route: route, workspace: m.workspace, service: service, started: started, objectiveEnd: started.Add(route.LatencyObjective - p.waits.estimate(route, left)), deadline: started.Add(timeout), idempotencyKey: key, depth: depth, tried: map[*stats]bool{},
 		head: &wirepb.CallHead{
 			CallId: id, Service: service.Name, Route: route.Name, Class: route.Class, Priority: route.Priority,
 			Method: r.Method, Target: []byte(requestTarget(r)), Host: []byte(r.Host),
-			Headers: p.forwardedHeaders(r.Header, depth), Body: body, Idempotent: route.Idempotent, Origin: p.cfg.Service,
+			Headers: p.forwardedHeaders(r.Header, depth, m.declared), Body: body, Idempotent: route.Idempotent, Origin: p.cfg.Service,
 			Repeated: rand.Float64() < p.cfg.Local.RepeatedFraction(),
 		},
-	}, nil
+	}
+	if m.workspace != nil {
+		c.head.Workspace = p.cfg.WorkspaceName(m.workspace.Name)
+		if priority := m.workspace.Priority; priority != nil {
+			c.head.Class, c.head.Priority = m.workspace.Class, *priority
+		}
+	}
+	return c, nil
 }
 
 // generatesIDs reports whether call ids come from the nodes rather than from the callers.
@@ -328,8 +363,12 @@
 	return hopByHop
 }
 
-func (p *Proxy) forwardedHeaders(header http.Header, depth int) []*wirepb.Header {
+// forwardedHeaders returns the headers for the upstream. Once workspaces are declared, only nodes may name one, and keys are not forwarded.
+func (p *Proxy) forwardedHeaders(header http.Header, depth int, workspacesDeclared bool) []*wirepb.Header {
 	hopByHop := p.hopByHopHeaders(header)
+	if workspacesDeclared {
+		hopByHop[headerAuthorization], hopByHop[http.CanonicalHeaderKey(p.cfg.Headers.GetWorkspace())] = true, true
+	}
 	list := make([]*wirepb.Header, 0, len(header)+1)
 	for name, values := range header {
 		if hopByHop[name] {
--- a/internal/route/proxy_test.go
+++ b/internal/route/proxy_test.go
@@ -41,6 +41,11 @@
 const routeSetting = `{"path_prefix": "/%s", "service": "shop", "timeout": "1s", %s}`
 
 func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWithHeaders(t, nil)
+}
+
+func newFixtureWithHeaders(t *testing.T, headers *wirepb.HeaderNames) *fixture {
 	t.Helper()
 	f := &fixture{platform: emul.NewPlatform(emul.PlatformConfig{Seed: 1})}
 	f.handler = func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }
@@ -58,7 +63,7 @@
 	pool := peer.NewPool(peer.PoolConfig{Now: time.Now})
 	t.Cleanup(pool.Close)
 	registry := local.New(local.Config{
-		Logger: zap.NewNop(), Now: time.Now, QueueFactor: 1, MaxBodyBytes: 1 << 16,
+		Logger: zap.NewNop(), Now: time.Now, QueueFactor: 1, MaxBodyBytes: 1 << 16, Headers: headers,
 		CheckExposure: func(local.Exposure) wirepb.Refusal { return wirepb.Refusal_REFUSAL_UNSPECIFIED },
 		Observe:       func(local.Observation) func(local.Observation) { return func(local.Observation) {} }, OnUpstreamsChange: func([]*wirepb.MemberUpstream) {},
 	})
@@ -66,7 +71,7 @@
 		Service: "shop", Version: "v1", Address: upstream.Listener.Addr().String(), Slots: 4, Connections: 4,
 	}))
 	f.proxy = New(Config{
-		Node: "self", MaxBodyBytes: 1 << 16, Now: time.Now, State: func() *tree.State { return state },
+		Node: "self", Headers: headers, MaxBodyBytes: 1 << 16, Now: time.Now, State: func() *tree.State { return state },
 		Verdicts: move.NewVerdicts(), Pool: pool, Local: registry,
 		Claims: claim.New(claim.Config{Store: store.New(store.Config{Address: table}), Now: time.Now}),
 		Picker: NewPicker(PickerConfig{
