--- a/internal/source/check_test.go
+++ b/internal/source/check_test.go
@@ -154,7 +154,7 @@
 		for version := range rapid.IntRange(1, 6).Draw(r, "configurations") {
 			row := &wirepb.Row{Key: "config", Version: uint64(version + 1), Value: configOf(version, rapid.SliceOfN(rapid.Custom(draw), 0, 8).Draw(r, "entries")...)}
 			require.True(r, platform.IsConfig(row))
-			build, err := i.buildFunc(row)
+			build, _, err := i.buildFunc(row)
 			require.NoError(r, err)
 			change, err := build(state)
 			require.NoError(r, err)
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -164,15 +164,15 @@
 		return
 	}
 	started := i.cfg.Now()
-	build, err := i.buildFunc(row)
+	build, config, err := i.buildFunc(row)
 	if err != nil {
 		i.markInvalid(row, err)
 		return
 	}
-	if platform.IsConfig(row) {
-		defer i.reportFaults(row)
-	}
 	revision, err := i.cfg.Log.Submit(ctx, row.GetKey()+"-"+strconv.FormatUint(row.GetVersion(), 10), build)
+	if config != nil {
+		i.reportFaults(row, config)
+	}
 	var applied *AlreadyAppliedError
 	var invalidValue *tree.ValueError
 	var invalidPath *tree.PathError
@@ -214,29 +214,30 @@
 	i.cfg.Logger.Warn("invalid operator row ignored", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Error(err))
 }
 
-func (i *Importer) buildFunc(row *wirepb.Row) (oplog.BuildFunc, error) {
+// buildFunc returns the function that builds the change of a row, and the configuration that the row holds, if it does.
+func (i *Importer) buildFunc(row *wirepb.Row) (oplog.BuildFunc, *checkedConfig, error) {
 	if platform.IsConfig(row) {
-		config, err := i.decoder.Decode(row)
+		decoded, err := i.decoder.Decode(row)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		i.checker.check(config)
-		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row) }, nil
+		config := i.checker.check(decoded)
+		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config) }, config, nil
 	}
 	order, err := platform.DecodeMoveOrder(row)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	received := i.cfg.Now()
-	return func(state *tree.State) (*wirepb.Change, error) { return i.orderChange(state, row, order, received) }, nil
+	return func(state *tree.State) (*wirepb.Change, error) { return i.orderChange(state, row, order, received) }, nil, nil
 }
 
 // configChange sets the entries that differ from the operator's configuration and deletes those that it no longer declares.
-func (i *Importer) configChange(state *tree.State, row *wirepb.Row) (*wirepb.Change, error) {
+func (i *Importer) configChange(state *tree.State, row *wirepb.Row, config *checkedConfig) (*wirepb.Change, error) {
 	if state.OperatorConfigVersion >= row.GetVersion() {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
-	values, err := i.checker.values(state)
+	values, err := config.values(state)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/tree/outline.go
+++ b/internal/tree/outline.go
@@ -15,27 +15,28 @@
 type Outline struct {
 	pathText string
 	path     Path
-	// route holds name, team, host and prefix of a route, services the services that it refers to.
+	// route holds name, team, host and prefix of a route, matchKey its key, services the services that it refers to.
 	route    *Route
+	matchKey string
 	services []string
 	// keys holds the keys of a workspace.
 	keys []KeyHash
 }
 
 // Path returns the path of the entry.
-func (o Outline) Path() string { return o.pathText }
+func (o *Outline) Path() string { return o.pathText }
 
 // NewOutline decodes and checks the value of a path; it returns *PathError or *ValueError.
-func NewOutline(pathText, value string) (Outline, error) {
+func NewOutline(pathText, value string) (*Outline, error) {
 	path, message, err := Decode(pathText, value)
 	if err != nil {
-		return Outline{}, err
+		return nil, err
 	}
-	o := Outline{pathText: pathText, path: path}
+	o := &Outline{pathText: pathText, path: path}
 	switch v := message.(type) {
 	case *wirepb.RouteSetting:
 		o.route = &Route{Name: path.Name, Team: path.Team, Host: v.GetHost(), PathPrefix: v.GetPathPrefix()}
-		o.services = serviceNames(v)
+		o.matchKey, o.services = o.route.matchKey(), serviceNames(v)
 	case *wirepb.WorkspaceSetting:
 		o.keys = keyHashes(v)
 	}
@@ -44,7 +45,7 @@
 
 // Misfits returns the reasons, by path, why entries of a team's new declaration cannot be in one tree with those before them in the list
 // and with the entries of other teams. Without them, the tree is valid. A *SharedKeyError does not make it invalid.
-func (s *State) Misfits(team string, outlines []Outline) map[string]error {
+func (s *State) Misfits(team string, outlines []*Outline) map[string]error {
 	misfits, services := map[string]error{}, map[string]bool{}
 	holders := map[KeyHash]string{}
 	for _, o := range outlines {
@@ -70,13 +71,13 @@
 			misfits[o.pathText] = err
 			continue
 		}
-		byMatchKey[o.route.matchKey()] = o.route
+		byMatchKey[o.matchKey] = o.route
 	}
 	return misfits
 }
 
 // checkWorkspace checks a workspace against one of the same name in the state and against those before it, whose paths are in holders.
-func (o Outline) checkWorkspace(current *Workspace, holders map[KeyHash]string) error {
+func (o *Outline) checkWorkspace(current *Workspace, holders map[KeyHash]string) error {
 	if current != nil && current.Team != o.path.Team {
 		return nameConflict(o.pathText, o.path.Name, current.Team)
 	}
@@ -90,13 +91,13 @@
 	return err
 }
 
-func (o Outline) checkRoute(services map[string]bool, byMatchKey map[string]*Route, foreign []*Route) error {
+func (o *Outline) checkRoute(services map[string]bool, byMatchKey map[string]*Route, foreign []*Route) error {
 	for _, name := range o.services {
 		if !services[name] {
 			return unknownServiceError(o.path.Team, o.pathText, name)
 		}
 	}
-	if other, found := byMatchKey[o.route.matchKey()]; found {
+	if other, found := byMatchKey[o.matchKey]; found {
 		return prefixConflict(o.route, other)
 	}
 	for _, other := range foreign {
