--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -176,12 +176,32 @@
 	})
 }
 
+// pollsPerRevocation is the number of polls of a relay within the time in which a removed key must be refused.
+const pollsPerRevocation = 4
+
+// pollInterval returns the interval at which a relay polls the platform.
+func pollInterval(s *conf.Settings) time.Duration {
+	if s.StrictRevocation {
+		return min(s.PollInterval, s.Revoke/pollsPerRevocation)
+	}
+	return s.PollInterval
+}
+
+// revocationAge returns the age of the configuration from which requests that need a key are refused, or 0 if it does not matter. The age that
+// a node knows leaves out the time for which its relay may not have read the platform.
+func revocationAge(s *conf.Settings) time.Duration {
+	if !s.StrictRevocation {
+		return 0
+	}
+	return max(s.Revoke-relay.MaxUnread(pollInterval(s)), s.Revoke/3)
+}
+
 func newHub(s *conf.Settings, logger *zap.Logger, now clock, client *store.Client, log *oplog.Log,
 	members *member.Table, verdicts *move.Verdicts, pool *peer.Pool,
 ) *relay.Hub {
 	return relay.New(relay.Config{
 		Node: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, Seeds: s.Seeds,
-		MaxChildren: s.MaxChildren, PollInterval: s.PollInterval, Logger: logger, Now: now,
+		MaxChildren: s.MaxChildren, PollInterval: pollInterval(s), Logger: logger, Now: now,
 		Store: client, Log: log, Members: members, Verdicts: verdicts, Pool: pool,
 	})
 }
@@ -204,12 +224,8 @@
 func newProxy(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
 	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table, hub *relay.Hub,
 ) *route.Proxy {
-	revoke := time.Duration(0)
-	if s.StrictRevocation {
-		revoke = s.Revoke
-	}
 	return route.New(route.Config{
-		Revoke: revoke, WorkspaceName: platform.WorkspaceName,
+		Revoke: revocationAge(s), WorkspaceName: platform.WorkspaceName,
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
 		RetryBudget: route.RetryBudgetConfig{
 			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: float64(s.RetrySlack), CountNodes: members.LiveCount, Now: now,
--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -18,10 +18,19 @@
 	passOnInterval = 700 * time.Millisecond
 	// unknownAge is the age of the configuration of a node that has never heard how old it is.
 	unknownAge = time.Hour
+	// platformLostAge, added to the age of a beat, says that the sender is in touch with a relay that cannot read the platform: how old its
+	// configuration is grows, but reading the platform itself would not help the receiver, and during an outage all nodes would do so.
+	platformLostAge = 24 * time.Hour
+	// readReserve is the time beyond the longest poll interval that a relay's read may take before the relay no longer counts as current.
+	readReserve = 500 * time.Millisecond
 )
 
+// MaxUnread returns the time after its last read of the platform for which a relay that polls at an interval counts as current.
+func MaxUnread(pollInterval time.Duration) time.Duration { return pollInterval*5/4 + readReserve }
+
 // Age returns a bound of how old this node's configuration is: all changes that were committed before are in force here. A relay is
-// where changes come from and has age 0; beats pass the age on.
+// where changes come from and has age 0; beats pass the age on. While workspaces are declared, a relay that does not read the platform has
+// the age of its last read, since requests with new keys must not be denied, nor revoked keys accepted.
 func (h *Hub) Age() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -32,7 +41,7 @@
 func (h *Hub) age() time.Duration {
 	switch {
 	case h.relay:
-		return 0
+		return h.unread()
 	case h.currentAt.IsZero():
 		return unknownAge
 	default:
@@ -40,6 +49,62 @@
 	}
 }
 
+// unread returns the time since this relay read the platform, or 0 if it counts as current. h.mu must be held.
+func (h *Hub) unread() time.Duration {
+	if h.readAt.IsZero() || len(h.cfg.Log.State().Workspaces) == 0 {
+		return 0
+	}
+	unread := h.cfg.Now().Sub(h.readAt)
+	if unread <= MaxUnread(h.cfg.PollInterval) && h.cfg.Store.IsReachable() {
+		return 0
+	}
+	return unread
+}
+
+// recordRead records that this relay read the changes that had been committed by a time from the platform.
+func (h *Hub) recordRead(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.readAt) {
+		h.readAt = at
+	}
+}
+
+// lastTouch returns when this node was last in touch with a relay, whether or not that could read the platform. h.mu must be held.
+func (h *Hub) lastTouch() time.Time {
+	if h.touchedAt.After(h.currentAt) {
+		return h.touchedAt
+	}
+	return h.currentAt
+}
+
+// beatAge returns the age to tell in a beat. h.mu must be held.
+func (h *Hub) beatAge() time.Duration {
+	age := h.age()
+	switch {
+	case h.relay && age > 0:
+		return platformLostAge
+	case h.relay, !h.touchedAt.After(h.currentAt), age <= passOnInterval:
+		return age
+	default:
+		return platformLostAge + h.cfg.Now().Sub(h.touchedAt)
+	}
+}
+
+// recordBeat records the age that a parent told in a beat.
+func (h *Hub) recordBeat(age time.Duration) {
+	if age < platformLostAge {
+		h.recordCurrent(h.cfg.Now().Add(-age))
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at := h.cfg.Now().Add(platformLostAge - age); at.After(h.lastTouch()) {
+		h.touchedAt = at
+		h.passOn()
+	}
+}
+
 // recordCurrent records that all changes that were committed before a time are in force here, and passes that on to the children.
 func (h *Hub) recordCurrent(at time.Time) {
 	h.mu.Lock()
@@ -48,6 +113,11 @@
 		return
 	}
 	h.currentAt = at
+	h.passOn()
+}
+
+// passOn wakes the links to the children to tell them the age. h.mu must be held.
+func (h *Hub) passOn() {
 	now := h.cfg.Now()
 	if now.Sub(h.passedOnAt) < passOnInterval {
 		return
@@ -74,7 +144,7 @@
 	if h.relay || h.leaving || !h.hasParent() {
 		return unknownAge
 	}
-	waitingSince := h.currentAt
+	waitingSince := h.lastTouch()
 	if waitingSince.Before(h.parentSince) {
 		waitingSince = h.parentSince
 	}
--- a/internal/relay/age_test.go
+++ b/internal/relay/age_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/turmericdale/turmericdale/internal/frame"
 	"github.com/turmericdale/turmericdale/internal/oplog"
+	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -168,3 +169,75 @@
 		}
 	})
 }
+
+// withWorkspace returns a hub whose configuration declares a workspace, with a store that counts as reachable.
+func withWorkspace(t *testing.T) *Hub {
+	t.Helper()
+	h := newHub()
+	h.cfg.Store, h.cfg.PollInterval = store.New(store.Config{}), 2*time.Second
+	t.Cleanup(h.cfg.Store.Close)
+	h.cfg.Log.ApplyChanges([]*wirepb.Change{{Revision: 1, Puts: []*wirepb.Put{{Path: "/teams/mesh/workspaces/acme", Value: "{}"}}}}, oplog.Origin{})
+	return h
+}
+
+// Guards against a data centre whose relays are cut off from the platform and that denies new keys, or accepts revoked ones, for good.
+func TestRelayThatDoesNotReadIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := withWorkspace(t)
+		limit := MaxUnread(h.cfg.PollInterval)
+		h.setRelay(true)
+		time.Sleep(limit)
+		require.Zero(t, h.Age())
+		time.Sleep(time.Millisecond)
+		require.Equal(t, limit+time.Millisecond, h.Age())
+		require.Equal(t, platformLostAge, h.beatAge())
+		h.recordRead(time.Now().Add(-time.Second))
+		require.Zero(t, h.Age(), "it has read again")
+		require.Zero(t, h.beatAge())
+		time.Sleep(limit)
+		h.setRelay(false)
+		require.Equal(t, limit+time.Second, h.Age(), "what it knew as a relay")
+	})
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub()
+		h.setRelay(true)
+		time.Sleep(time.Hour)
+		require.Zero(t, h.Age(), "as before while no workspaces are declared")
+	})
+}
+
+// Guards against nodes that take a configuration for current whose relay cannot read the platform, and against all of them reading the
+// platform during its outage.
+func TestLossOfThePlatformIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub()
+		parent := addParent(t, h, "parent")
+		require.NoError(t, parent.handleBeat(beatOfAge(0)))
+		for range 5 {
+			time.Sleep(beatInterval)
+			require.Positive(t, h.untilOutOfTouch())
+			require.NoError(t, parent.handleBeat(beatOfAge(platformLostAge)))
+		}
+		require.Equal(t, 5*beatInterval, h.Age())
+		require.Equal(t, platformLostAge, h.beatAge())
+		time.Sleep(beatInterval / 2)
+		require.Equal(t, platformLostAge+beatInterval/2, h.beatAge())
+		require.NoError(t, parent.handleBeat(beatOfAge(0)))
+		require.Zero(t, h.Age())
+		require.Zero(t, h.beatAge())
+	})
+	t.Run("one of two parents", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHub()
+			lost, current := addParent(t, h, "lost"), addParent(t, h, "current")
+			for range 5 {
+				require.NoError(t, current.handleBeat(beatOfAge(0)))
+				time.Sleep(beatInterval / 2)
+				require.NoError(t, lost.handleBeat(beatOfAge(platformLostAge)))
+				require.Equal(t, beatInterval/2, h.Age())
+				require.Equal(t, beatInterval/2, h.beatAge())
+				time.Sleep(beatInterval / 2)
+			}
+		})
+	})
+}
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -103,8 +103,11 @@
 	// actsAsRootUntil is until when this node, without a parent, counts as having a way to the changes since it reads the platform.
 	actsAsRootUntil time.Time
 	// currentAt is when all changes that had been committed were in force here, parentSince when this node got its first parent after it
-	// had none, passedOnAt when the children were last woken to be told of currentAt.
+	// had none, passedOnAt when the children were last woken to be told of currentAt. touchedAt is when a relay that could not read the
+	// platform was last heard of, readAt when this node last read the platform as a relay.
 	currentAt   time.Time
+	touchedAt   time.Time
+	readAt      time.Time
 	parentSince time.Time
 	passedOnAt  time.Time
 	// announcedDepth is the depth of which the children were told last.
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -144,6 +144,8 @@
 	switch {
 	case err == nil && !h.IsRelay():
 		h.actAsRoot(started)
+	case err == nil:
+		h.recordRead(started)
 	case err != nil && h.cfg.Store.IsReachable():
 		h.cfg.Logger.Warn("could not read changes from the platform", zap.Error(err))
 	}
@@ -327,8 +329,12 @@
 
 func (h *Hub) setRelay(relay bool) {
 	h.mu.Lock()
-	if h.relay && !relay {
-		h.currentAt = h.cfg.Now()
+	switch {
+	case h.relay && !relay:
+		h.currentAt = h.cfg.Now().Add(-h.age())
+	case relay:
+		// It has just taken the lease.
+		h.readAt = h.cfg.Now()
 	}
 	h.relay, h.promoted = relay, false
 	for _, l := range h.links {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -65,10 +65,10 @@
 	packedChanges bool
 	// sentAlternates holds the alternates that were last sent.
 	sentAlternates []string
-	// sentDepth is the depth of the last beat, sentAt when it was sent, sentCurrentAt when the changes were current by it.
-	sentDepth     int
-	sentAt        time.Time
-	sentCurrentAt time.Time
+	// sentDepth is the depth of the last beat, sentAt when it was sent, sentTouchAt when the sender was in touch by it.
+	sentDepth   int
+	sentAt      time.Time
+	sentTouchAt time.Time
 	// announcedRevision is the revision of the last beat that was sent outside the regular interval.
 	announcedRevision uint64
 
@@ -166,7 +166,7 @@
 	}
 	l.hub.mu.Lock()
 	defer l.hub.mu.Unlock()
-	return !l.hub.relay && l.hub.currentAt.After(l.sentCurrentAt) && l.hub.cfg.Now().Sub(l.sentAt) >= passOnInterval
+	return !l.hub.relay && l.hub.lastTouch().After(l.sentTouchAt) && l.hub.cfg.Now().Sub(l.sentAt) >= passOnInterval
 }
 
 func (l *link) beatInterval() time.Duration {
@@ -260,8 +260,8 @@
 func (l *link) nextAge() *durationpb.Duration {
 	l.hub.mu.Lock()
 	defer l.hub.mu.Unlock()
-	l.sentAt, l.sentCurrentAt = l.hub.cfg.Now(), l.hub.currentAt
-	return durationpb.New(l.hub.age())
+	l.sentAt, l.sentTouchAt = l.hub.cfg.Now(), l.hub.lastTouch()
+	return durationpb.New(l.hub.beatAge())
 }
 
 func (l *link) write(message *wirepb.LinkFrame) error {
@@ -353,7 +353,7 @@
 	l.subtree.Store(&SubtreeSummary{Nodes: beat.GetNodes(), OldestRevision: beat.GetOldestRevision(), Refusals: beat.GetRefusals()})
 	l.hub.applyBeat(l, beat)
 	if l.dialled && !l.betweenRelays && l.hub.hasApplied(beat.GetRevision()) {
-		l.hub.recordCurrent(l.hub.cfg.Now().Add(-beat.GetAge().AsDuration()))
+		l.hub.recordBeat(beat.GetAge().AsDuration())
 	}
 	l.hub.announceDepth()
 	if l.dialled && !l.betweenRelays && int(beat.GetDepth()) > maxDepth {
--- a/test/proof/workspace_test.go
+++ b/test/proof/workspace_test.go
@@ -45,15 +45,15 @@
 	return r.headers[path]
 }
 
-// startWorkspaceDeployment starts a deployment that imports operator rows and whose upstreams of the shop are the recorder.
-func startWorkspaceDeployment(t *testing.T, upstream *recorder) *deployment {
+// startWorkspaceDeployment starts a deployment that imports operator rows, with more settings, whose upstreams of the shop are the recorder.
+func startWorkspaceDeployment(t *testing.T, upstream *recorder, settings string) *deployment {
 	t.Helper()
 	d := newDeployment(t)
 	for _, v := range d.vms {
 		file := filepath.Join(d.directory, v.Node+".jsonc")
 		text, err := os.ReadFile(file)
 		require.NoError(t, err)
-		changed := strings.Replace(string(text), `"headers": {`, `"operator_rows": true, "headers": {"workspace": "X-Tenant", `, 1)
+		changed := strings.Replace(string(text), `"headers": {`, settings+`"operator_rows": true, "headers": {"workspace": "X-Tenant", `, 1)
 		require.NotEqual(t, string(text), changed)
 		require.NoError(t, os.WriteFile(file, []byte(changed), 0o600))
 	}
@@ -94,25 +94,28 @@
 	return "GET " + path + " HTTP/1.1\r\nHost: proof\r\n" + strings.Join(append(headerLines, "", ""), "\r\n")
 }
 
+const key = "Authorization: Token proof-key-"
+
+// awaitStatus waits until all nodes answer a request with a status.
+func (d *deployment) awaitStatus(status int, request string) {
+	d.t.Helper()
+	for _, v := range d.vms {
+		d.await(inForceTimeout, fmt.Sprintf("status %d from %s", status, v.Node), func() bool { return send(v, request) == status })
+	}
+}
+
 // Guards against callers that get through a real node without a valid key, against upstreams that receive a workspace which the caller made
 // up, in whatever form it is written, and against keys in logs, metrics, status and tree.
 func TestWorkspacesEndToEnd(t *testing.T) {
 	t.Parallel()
 	upstream := &recorder{headers: map[string]http.Header{}}
-	d := startWorkspaceDeployment(t, upstream)
+	d := startWorkspaceDeployment(t, upstream, "")
 	putKey := func(version int, key string) {
 		d.platform.PutRow("op", "config", fmt.Appendf(nil, workspaceConfig, version, key))
 	}
-	awaitStatus := func(status int, request string) {
-		t.Helper()
-		for _, v := range d.vms {
-			d.await(inForceTimeout, fmt.Sprintf("status %d from %s", status, v.Node), func() bool { return send(v, request) == status })
-		}
-	}
-	const key = "Authorization: Token proof-key-"
 	putKey(1, "proof-key-1")
-	awaitStatus(http.StatusOK, get("/shop", key+"1"))
-	awaitStatus(http.StatusOK, get("/open"))
+	d.awaitStatus(http.StatusOK, get("/shop", key+"1"))
+	d.awaitStatus(http.StatusOK, get("/open"))
 	for _, v := range d.vms {
 		for _, lines := range [][]string{nil, {key + "2"}, {key + "broken"}, {"Authorization: Bearer proof-key-1"}, {key + "1", key + "1"}} {
 			require.Equal(t, http.StatusUnauthorized, send(v, get("/shop/denied", lines...)), "%s: %v", v.Node, lines)
@@ -150,8 +153,8 @@
 	}
 	t.Run("a key is replaced", func(*testing.T) {
 		putKey(2, "proof-key-2")
-		awaitStatus(http.StatusOK, get("/shop", key+"2"))
-		awaitStatus(http.StatusUnauthorized, get("/shop", key+"1"))
+		d.awaitStatus(http.StatusOK, get("/shop", key+"2"))
+		d.awaitStatus(http.StatusUnauthorized, get("/shop", key+"1"))
 	})
 	t.Run("ignored entries and no keys are shown", func(t *testing.T) {
 		for _, v := range d.vms {
@@ -177,6 +180,35 @@
 	t.Run("without workspaces no key is needed", func(*testing.T) {
 		text := fmt.Sprintf(workspaceConfig, 3, "")
 		d.platform.PutRow("op", "config", []byte(strings.ReplaceAll(text, `"tenants"`, `"colours"`)))
-		awaitStatus(http.StatusOK, get("/shop"))
+		d.awaitStatus(http.StatusOK, get("/shop"))
 	})
 }
+
+// Guards against keys that are denied for good, or accepted although they may have been revoked, by nodes whose relays are cut off from the
+// platform.
+func TestKeysWhileThePlatformIsDown(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name, settings string
+		valid          int
+	}{
+		{"strict revocation", `"strict_revocation": true, `, http.StatusServiceUnavailable},
+		{"otherwise", "", http.StatusOK},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			d := startWorkspaceDeployment(t, &recorder{headers: map[string]http.Header{}}, tt.settings)
+			d.platform.PutRow("op", "config", fmt.Appendf(nil, workspaceConfig, 1, "proof-key-1"))
+			d.awaitStatus(http.StatusOK, get("/shop", key+"1"))
+			d.awaitStatus(http.StatusUnauthorized, get("/shop", key+"2"))
+			d.platform.SetFaults(emul.PlatformFaults{Down: true})
+			d.awaitStatus(http.StatusServiceUnavailable, get("/shop", key+"2"))
+			d.awaitStatus(tt.valid, get("/shop", key+"1"))
+			d.awaitStatus(http.StatusOK, get("/open"))
+			d.platform.SetFaults(emul.PlatformFaults{})
+			d.awaitStatus(http.StatusOK, get("/shop", key+"1"))
+			d.awaitStatus(http.StatusUnauthorized, get("/shop", key+"2"))
+		})
+	}
+}
