--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -93,6 +93,8 @@
 	ColdLimit func(service string) float64
 	// Evacuated reports whether the node's data centre is evacuated; nil means that it never is.
 	Evacuated func() bool
+	// WorkspacesDeclared reports whether workspaces are declared: only nodes may then name one to an upstream. Nil means that none are.
+	WorkspacesDeclared func() bool
 	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
 	// call ends.
 	Observe func(started Observation) (end func(ended Observation))
@@ -140,6 +142,9 @@
 	if cfg.Headers == nil {
 		cfg.Headers = DefaultHeaders()
 	}
+	if cfg.WorkspacesDeclared == nil {
+		cfg.WorkspacesDeclared = func() bool { return false }
+	}
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -46,7 +46,8 @@
 	Log    *oplog.Log
 	// Rank returns the position of this node among those that import, from 0, or a negative number if it does not import.
 	Rank func() int
-	// OnInvalidRow is called for each row version that cannot be decoded or holds an invalid configuration.
+	// OnInvalidRow is called for each row version that cannot be decoded or holds an invalid configuration, and for each entry of a
+	// configuration that was left out.
 	OnInvalidRow func()
 }
 
@@ -63,6 +64,9 @@
 	// invalid holds the latest invalid version of a row, by its key.
 	invalid map[string]uint64
 	decoder platform.ConfigDecoder
+	checker entryChecker
+	// reported holds the faults of entries that have been logged, as far as the newest configuration has them.
+	reported map[string]bool
 }
 
 // New returns an importer that has read nothing.
@@ -173,12 +177,15 @@
 		return
 	}
 	started := i.cfg.Now()
-	build, err := i.buildFunc(row)
+	build, config, err := i.buildFunc(row)
 	if err != nil {
 		i.markInvalid(row, err)
 		return
 	}
 	revision, err := i.cfg.Log.Submit(ctx, operationID(row), build)
+	if config != nil {
+		i.reportFaults(row, config)
+	}
 	var applied *AlreadyAppliedError
 	var invalidValue *tree.ValueError
 	var invalidPath *tree.PathError
@@ -228,34 +235,37 @@
 	i.cfg.Logger.Warn("invalid operator row ignored", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Error(err))
 }
 
-func (i *Importer) buildFunc(row *wirepb.Row) (oplog.BuildFunc, error) {
+// buildFunc returns the function that builds the change of a row, and the configuration that the row holds, if it does.
+func (i *Importer) buildFunc(row *wirepb.Row) (oplog.BuildFunc, *checkedConfig, error) {
 	if platform.IsConfig(row) {
-		config, err := i.decoder.Decode(row)
+		decoded, err := i.decoder.Decode(row)
 		if err != nil {
-			return nil, err
-		}
-		for _, unknown := range config.UnknownKinds {
-			i.cfg.OnInvalidRow()
-			i.cfg.Logger.Warn("unknown kind of route: its calls are not repeated", zap.Uint64("row_version", row.GetVersion()), zap.Error(unknown))
+			return nil, nil, err
 		}
-		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config.Values) }, nil
+		config := i.checker.check(decoded)
+		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config) }, config, nil
 	}
 	if platform.IsEvacuation(row) {
-		return i.evacuationFunc(row)
+		build, err := i.evacuationFunc(row)
+		return build, nil, err
 	}
 	order, err := platform.DecodeMoveOrder(row)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	received := i.cfg.Now()
-	return func(state *tree.State) (*wirepb.Change, error) { return i.orderChange(state, row, order, received) }, nil
+	return func(state *tree.State) (*wirepb.Change, error) { return i.orderChange(state, row, order, received) }, nil, nil
 }
 
 // configChange sets the entries that differ from the operator's configuration and deletes those that it no longer declares.
-func (i *Importer) configChange(state *tree.State, row *wirepb.Row, values map[string]string) (*wirepb.Change, error) {
+func (i *Importer) configChange(state *tree.State, row *wirepb.Row, config *checkedConfig) (*wirepb.Change, error) {
 	if state.OperatorConfigVersion >= row.GetVersion() {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
+	values, err := config.values(state)
+	if err != nil {
+		return nil, err
+	}
 	change := i.newChange(state)
 	change.SourceVersion = row.GetVersion()
 	upToDate := map[string]bool{}
@@ -279,7 +289,8 @@
 
 // isOperatorPath reports whether a path is one that the operator's configuration sets.
 func isOperatorPath(path string) bool {
-	return path == tree.LimitsPath || strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/routes/") || strings.HasPrefix(path, servicePrefix)
+	return path == tree.LimitsPath || path == tree.IgnoredPath || strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/routes/") || strings.HasPrefix(path, servicePrefix) ||
+		strings.HasPrefix(path, "/teams/"+platform.OperatorTeam+"/workspaces/")
 }
 
 const servicePrefix = "/teams/" + platform.OperatorTeam + "/services/"
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 
+	"google.golang.org/protobuf/types/known/structpb"
+
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -16,13 +18,16 @@
 	changed map[string]map[string]decodedEntry
 	// prefixAdded says that a team got a path prefix that it did not have.
 	prefixAdded bool
+	// workspacesChanged says that workspaces were put or removed.
+	workspacesChanged bool
 }
 
 func newBuilder(s *State) *builder {
 	return &builder{
 		next: &State{
 			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, Evacuated: s.Evacuated, entryCount: s.entryCount, Services: maps.Clone(s.Services),
-			MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
+			Workspaces: s.Workspaces, workspacesByKey: s.workspacesByKey,
+			IgnoredEntries: s.IgnoredEntries, MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
 		},
 		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
 	}
@@ -123,6 +128,12 @@
 		}
 	}
 	clear(b.changed)
+	if b.workspacesChanged {
+		b.workspacesChanged = false
+		if err := b.next.indexWorkspaces(); err != nil {
+			return err
+		}
+	}
 	if !b.prefixAdded {
 		return nil
 	}
@@ -145,6 +156,10 @@
 			b.removeRoute(r, previousTeams)
 			delete(t.routes, pathText)
 		}
+		if _, found := t.workspaces[pathText]; found {
+			delete(t.workspaces, pathText)
+			b.workspacesChanged = true
+		}
 	}
 }
 
@@ -167,6 +182,9 @@
 	if err != nil {
 		return err
 	}
+	for _, e := range entries {
+		b.workspacesChanged = b.workspacesChanged || e.path.Kind == KindWorkspace
+	}
 	if changesServices(entries) {
 		if err := b.addServices(team, t.services); err != nil {
 			return err
@@ -185,28 +203,27 @@
 func (b *builder) addServices(team string, services map[string]*Service) error {
 	for name, service := range services {
 		if other, found := b.next.Services[name]; found {
-			return &ValueError{
-				Path: "/teams/" + team + "/services/" + name, Field: "name", Value: name,
-				Allowed: "a name that team " + other.Team + " does not use",
-			}
+			return nameConflict("/teams/"+team+"/services/"+name, name, other.Team)
 		}
 		b.next.Services[name] = service
 	}
 	return nil
 }
 
-// compileSystem compiles the limits and the evacuations.
+// compileSystem compiles the limits, the evacuations and the list of ignored entries.
 func (b *builder) compileSystem(t *subtree) error {
 	values, err := t.decodeExceptRoutes(nil)
 	if err != nil {
 		return err
 	}
-	b.next.Limits, b.next.Evacuated = Limits{}, map[string]bool{}
+	b.next.Limits, b.next.Evacuated, b.next.IgnoredEntries = Limits{}, map[string]bool{}, nil
 	for _, e := range values {
-		if e.path.Kind == KindEvacuation {
+		switch v := e.message.(type) {
+		case *wirepb.EvacuationSetting:
 			b.next.Evacuated[e.path.Name] = true
-		}
-		if v, ok := e.message.(*wirepb.LimitsSetting); ok {
+		case *structpb.ListValue:
+			b.next.IgnoredEntries = ignoredEntries(v)
+		case *wirepb.LimitsSetting:
 			b.next.Limits = Limits{
 				MaxHeaderBytes: int(v.GetHeaderBytes()), MaxBodyBytes: int64(v.GetBodyBytes()),
 				HeaderTimeout: v.GetHeaderTimeout().AsDuration(), IdleTimeout: v.GetIdleTimeout().AsDuration(),
@@ -242,6 +259,10 @@
 	return count
 }
 
+func nameConflict(pathText, name, otherTeam string) error {
+	return &ValueError{Path: pathText, Field: "name", Value: name, Allowed: "a name that team " + otherTeam + " does not use"}
+}
+
 func prefixConflict(route, other *Route) error {
 	return &ValueError{
 		Path: "/teams/" + route.Team + "/routes/" + route.Name, Field: "path_prefix", Value: route.PathPrefix,
