--- a/internal/local/cold.go
+++ b/internal/local/cold.go
@@ -79,6 +79,10 @@
 
 // coldnessChanged reports whether the callers' nodes were told otherwise of an upstream's cold start than it is now.
 func (r *Registry) coldnessChanged() bool {
+	if r.stopping {
+		// No upstream is published any more.
+		return false
+	}
 	for _, u := range r.upstreams {
 		if !u.leaving && u.published != r.coldLimit(u).Cold {
 			return true
--- a/internal/local/cold_test.go
+++ b/internal/local/cold_test.go
@@ -320,3 +320,12 @@
 	require.Equal(t, map[wirepb.Refusal]int{wirepb.Refusal_REFUSAL_UNSPECIFIED: 2, wirepb.Refusal_REFUSAL_EVACUATED: 2}, count, "calls in progress finish")
 	require.EqualValues(t, 2, calls.Load())
 }
+
+// Guards against a node that publishes its record again and again while it stops, because it no longer publishes the cold upstream.
+func TestStoppedRegistryPublishesNoColdness(t *testing.T) {
+	f := newColdFixture(t)
+	f.announce(t, 1_700_000_000, 1, 0)
+	f.Stop()
+	f.announce(t, 1_700_000_000, 2, coldDuration)
+	require.False(t, f.expireSilent())
+}
