--- a/pkg/cmd/node/status/status.go
+++ b/pkg/cmd/node/status/status.go
@@ -65,6 +65,9 @@
 		{"subtree_oldest_revision", strconv.FormatUint(s.GetSubtreeOldestRevision(), 10)},
 		{"subtree_refusals", strings.Join(s.GetSubtreeRefusals(), "; ")},
 	}
+	for _, entry := range s.GetIgnoredEntries() {
+		list = append(list, []string{"ignored_entry", entry})
+	}
 	for _, u := range s.GetUpstreams() {
 		list = append(list, []string{"upstream", u.GetService() + " " + u.GetVersion() + " " + u.GetAddress() +
 			" " + strconv.FormatUint(uint64(u.GetInFlight()), 10) + "/" + strconv.FormatUint(uint64(u.GetSlots()), 10)})
