--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -20,6 +20,16 @@
 	serviceTimeMargin = 1.4
 )
 
+// The policies by which waiting calls get a slot.
+const (
+	// PolicyAuto is PolicyLeastLoss where callers compete by workspace or the upstream reports its pace, else PolicyArrival.
+	PolicyAuto = "auto"
+	// PolicyArrival admits calls by class, and within a class in order of arrival.
+	PolicyArrival = "arrival"
+	// PolicyLeastLoss admits calls so that delays and refusals cost callers least.
+	PolicyLeastLoss = "least_loss"
+)
+
 // RefusedError is returned for a call that was refused before it reached the upstream.
 type RefusedError struct {
 	Refusal wirepb.Refusal
@@ -34,6 +44,10 @@
 	// QueueSize is the number of calls that may wait for a slot.
 	QueueSize int
 	Now       func() time.Time
+	// Policy is PolicyArrival, the default, PolicyLeastLoss or PolicyAuto.
+	Policy string
+	// HasWorkspaces reports whether callers belong to workspaces, for PolicyAuto; nil means that they do not.
+	HasWorkspaces func() bool
 }
 
 // Request describes a call that needs a slot.
@@ -43,6 +57,9 @@
 	PastObjective bool
 	// RespondBy is the time by which the upstream must respond, or zero for the call's deadline.
 	RespondBy time.Time
+	// Route and Workspace are those of the call; they may be empty.
+	Route     string
+	Workspace string
 }
 
 // rank orders the queues by class, and within a class puts calls past their objective last.
@@ -65,6 +82,9 @@
 	// serviceTime is the moving average of the time that a call holds a slot, rankServiceTime the same by rank.
 	serviceTime     time.Duration
 	rankServiceTime [rankCount]time.Duration
+	pace            pace
+	// loss orders the waiting calls with PolicyLeastLoss; it is nil with PolicyArrival.
+	loss *lossQueue
 }
 
 type waiter struct {
@@ -73,10 +93,22 @@
 }
 
 // NewLimiter returns an open limiter.
-func NewLimiter(cfg Config) *Limiter { return &Limiter{cfg: cfg} }
+func NewLimiter(cfg Config) *Limiter {
+	if cfg.HasWorkspaces == nil {
+		cfg.HasWorkspaces = func() bool { return false }
+	}
+	l := &Limiter{cfg: cfg}
+	if cfg.Policy == PolicyLeastLoss {
+		l.loss = newLossQueue(cfg.Slots)
+	}
+	return l
+}
 
 // Acquire waits for a slot until the context ends; it returns *RefusedError, after which the call has not run.
 func (l *Limiter) Acquire(ctx context.Context, request Request) error {
+	if l.usesLeastLoss() {
+		return l.acquireLeastLoss(ctx, request)
+	}
 	element, timeout, refusal := l.acquireOrQueue(ctx, request)
 	if refusal != wirepb.Refusal_REFUSAL_UNSPECIFIED {
 		return &RefusedError{Refusal: refusal}
@@ -126,7 +158,8 @@
 	if request.RespondBy.IsZero() {
 		return maxQueueTimeout
 	}
-	return request.RespondBy.Add(-l.rankServiceTime[request.rank()]).Sub(l.cfg.Now())
+	now := l.cfg.Now()
+	return request.RespondBy.Add(-l.pace.scale(l.rankServiceTime[request.rank()], now)).Sub(now)
 }
 
 // canMeetDeadlines reports whether a slot is expected before the deadline of the call, and its response by RespondBy. If
@@ -140,11 +173,12 @@
 	for r := request.rank(); r < rankCount; r++ {
 		ahead += l.queues[r].Len()
 	}
-	slotAt := l.cfg.Now().Add(l.serviceTime * time.Duration(ahead) / time.Duration(l.cfg.Slots))
+	now := l.cfg.Now()
+	slotAt := now.Add(l.pace.scale(l.serviceTime, now) * time.Duration(ahead) / time.Duration(l.cfg.Slots))
 	if deadline, found := ctx.Deadline(); found && !slotAt.Before(deadline) {
 		return false
 	}
-	serviceTime := l.rankServiceTime[request.rank()]
+	serviceTime := l.pace.scale(l.rankServiceTime[request.rank()], now)
 	if ahead > 1 {
 		serviceTime = time.Duration(serviceTimeMargin * float64(serviceTime))
 	}
@@ -189,6 +223,9 @@
 	defer l.mu.Unlock()
 	updateAverage(&l.serviceTime, held)
 	updateAverage(&l.rankServiceTime[request.rank()], held)
+	if l.loss != nil {
+		l.loss.observeWork(request.Route, held)
+	}
 	l.running--
 	l.admitNext()
 }
@@ -211,6 +248,10 @@
 }
 
 func (l *Limiter) admitNext() {
+	if l.loss != nil {
+		l.admitNextLeastLoss()
+		return
+	}
 	for r := rankCount - 1; r >= 0 && l.running < l.cfg.Slots; r-- {
 		if oldest := l.queues[r].Front(); oldest != nil {
 			l.queues[r].Remove(oldest)
@@ -228,6 +269,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	if l.loss != nil {
+		for c := l.loss.takeFirst(); c != nil; c = l.loss.takeFirst() {
+			l.queued--
+			c.decision <- wirepb.Refusal_REFUSAL_LEAVING
+		}
+	}
 	for r := range l.queues {
 		for e := l.queues[r].Front(); e != nil; e = l.queues[r].Front() {
 			l.queues[r].Remove(e)
@@ -238,6 +285,13 @@
 	}
 }
 
+// ObservePace records how long work takes now on the upstream's VM, in percent of the usual time.
+func (l *Limiter) ObservePace(percent uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace.observe(percent, l.cfg.Now())
+}
+
 // Running returns the number of calls that hold a slot.
 func (l *Limiter) Running() int {
 	l.mu.Lock()
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -8,7 +8,9 @@
 	"os"
 	"reflect"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tailscale/hujson"
@@ -256,7 +258,7 @@
 		Revoke:            c.durationText("revoke", s.GetRevoke(), defaultRevoke, minQuotaWindow, maxQuotaWindow),
 		MemoryLimitBytes:  int64(c.number("memory_limit_bytes", s.GetMemoryLimitBytes(), 0, minMemoryLimitBytes, maxMemoryBytes)),
 		MaxDescriptors:    c.number("max_descriptors", uint64(s.GetMaxDescriptors()), 0, minDescriptors, maxDescriptors),
-		AdmissionPolicy:   c.oneOf("admission_policy", s.GetAdmissionPolicy(), "arrival", "least_loss"),
+		AdmissionPolicy:   c.oneOf("admission_policy", s.GetAdmissionPolicy(), "auto", "arrival", "least_loss"),
 	}
 }
 
@@ -382,13 +384,13 @@
 	return int(value)
 }
 
-func (c *checker) oneOf(field, value, fallback, other string) string {
-	switch value {
-	case "":
+func (c *checker) oneOf(field, value, fallback string, others ...string) string {
+	if value == "" {
 		return fallback
-	case fallback, other:
-	default:
-		c.fail(field, value, fallback+" or "+other)
+	}
+	allowed := append([]string{fallback}, others...)
+	if !slices.Contains(allowed, value) {
+		c.fail(field, value, strings.Join(allowed, " or "))
 	}
 	return value
 }
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -83,6 +83,7 @@
 	endRun, endObservation := r.startRun(head.GetRepeated()), r.cfg.Observe(observation)
 	answer, result, header := u.forward(ctx, head, r.cfg.MaxBodyBytes)
 	r.applyNotices(u, header, started)
+	answer.Load = r.observeLoad(u, header)
 	endRun()
 	took := r.cfg.Now().Sub(started)
 	answer.DependencyFailed = result == ResultFailed && r.dependencyFailed(u.service, started)
@@ -144,7 +145,7 @@
 
 // newAdmitRequest returns the admission request of a call; a call past its objective may use only part of its time left.
 func newAdmitRequest(head *wirepb.CallHead, arrived time.Time) admit.Request {
-	admission := admit.Request{Class: head.GetClass()}
+	admission := admit.Request{Class: head.GetClass(), Route: head.GetRoute(), Workspace: head.GetWorkspace()}
 	objectiveLeft, timeLeft := head.GetObjectiveLeft(), head.GetTimeLeft()
 	switch {
 	case objectiveLeft == nil || timeLeft == nil || objectiveLeft.AsDuration() >= timeLeft.AsDuration():
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -86,6 +86,10 @@
 	Headers *wirepb.HeaderNames
 	// AnnounceInterval is the time between two announcements of an upstream; zero means DefaultAnnounceInterval.
 	AnnounceInterval time.Duration
+	// AdmissionPolicy is a policy of package admit; empty means admit.PolicyArrival.
+	AdmissionPolicy string
+	// HasWorkspaces reports whether callers belong to workspaces; nil means that they do not.
+	HasWorkspaces func() bool
 	// CheckExposure returns why an upstream may not get a further call now, or REFUSAL_UNSPECIFIED if it may.
 	CheckExposure func(exposure Exposure) wirepb.Refusal
 	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -59,6 +59,7 @@
 		firstCallSeen: a.GetUptime() != nil && a.GetUptime().AsDuration() < maxFreshUptime,
 		limiter: admit.NewLimiter(admit.Config{
 			Slots: int(a.GetSlots()), QueueSize: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
+			Policy: cfg.AdmissionPolicy, HasWorkspaces: cfg.HasWorkspaces,
 		}),
 		pacer: admit.NewPacer(admit.PacerConfig{
 			Now: cfg.Now, Unknown: a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt),
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -160,7 +160,8 @@
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
-		Observe: monitor.Observe,
+		AdmissionPolicy: s.AdmissionPolicy,
+		Observe:         monitor.Observe,
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
--- a/internal/route/stats.go
+++ b/internal/route/stats.go
@@ -31,6 +31,7 @@
 	latency      time.Duration
 	loadPermille uint32
 	loadAt       time.Time
+	load         reportedLoad
 	// limitedUntil is when the limit of the upstream allows another call.
 	limitedUntil        time.Time
 	unknownsSinceAnswer int
@@ -63,6 +64,7 @@
 	case wirepb.Outcome_OUTCOME_ANSWERED:
 		s.unknownsSinceAnswer, s.ejections = 0, 0
 		s.recordLatency(result.took)
+		s.load.record(answer, now)
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
 		s.recordRefusal(answer.GetRefusal(), now)
 		s.recordLimit(answer.GetAvailableIn().AsDuration(), now)
