--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -60,6 +60,8 @@
 	// Route and Workspace are those of the call; they may be empty.
 	Route     string
 	Workspace string
+	// Cold is the limit of the upstream's cold start, which a Pacer applies.
+	Cold ColdLimit
 }
 
 // rank orders the queues by class, and within a class puts calls past their objective last.
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -48,6 +49,8 @@
 	Upstreams  func(service string) []*member.Upstream
 	// Preconnect connects to a node in the background, so that no call waits for it.
 	Preconnect func(address netip.AddrPort)
+	// Evacuated returns the data centres whose upstreams get no calls; nil means that there are none.
+	Evacuated func() map[string]bool
 	// IsSuspect reports whether a node may be gone; nil means that none is suspect.
 	IsSuspect func(address netip.AddrPort) bool
 }
@@ -79,8 +82,11 @@
 
 type subset struct {
 	// all is the list that the subset was chosen from.
-	all   []*member.Upstream
-	tiers [tierCount][]*candidate
+	all []*member.Upstream
+	// evacuated are the data centres that were evacuated then; excluded says that some upstream was left out for it.
+	evacuated map[string]bool
+	excluded  bool
+	tiers     [tierCount][]*candidate
 }
 
 // candidate is an upstream with the statistics of the calls to it.
@@ -94,6 +100,9 @@
 	if cfg.IsSuspect == nil {
 		cfg.IsSuspect = func(netip.AddrPort) bool { return false }
 	}
+	if cfg.Evacuated == nil {
+		cfg.Evacuated = func() map[string]bool { return nil }
+	}
 	return &Picker{cfg: cfg, subsets: map[subsetKey]*subset{}, stats: map[statsKey]*stats{}}
 }
 
@@ -110,7 +119,8 @@
 }
 
 // choose prefers the nearest tier that has an upstream with a free slot, without a fault that others lack, on a node that is
-// not suspect; then any upstream that is not ejected, then any. An upstream whose limit allows no call now is never chosen.
+// not suspect, and in it upstreams that are not cold. Cold ones come before those farther away, which would otherwise get all calls of
+// a data centre that returns cold, while its own upstreams are idle. Then it chooses any upstream that is not ejected, then any. An upstream whose limit allows no call now is never chosen.
 func (p *Picker) choose(s *subset, tried map[*stats]bool) *candidate {
 	if p.cfg.Policy == PolicyRoundRobin {
 		return p.roundRobin(s, tried)
@@ -124,18 +134,23 @@
 	if rand.Float64() < probeFraction {
 		tolerableFaultRate = 1
 	}
+	isFree := func(c *candidate) bool {
+		return !tried[c.stats] && c.stats.isAvailable(now) && !c.isSaturated(now) && !p.isSuspect(c) && c.stats.faultRate <= tolerableFaultRate
+	}
 	for _, tier := range s.tiers {
-		if c := leastLoadedOfTwo(filter(tier, func(c *candidate) bool {
-			return !tried[c.stats] && c.stats.isAvailable(now) && !c.isSaturated(now) && !p.isSuspect(c) && c.stats.faultRate <= tolerableFaultRate
-		})); c != nil {
+		free := filter(tier, isFree)
+		if warm := filter(free, func(c *candidate) bool { return !c.upstream.Cold }); len(warm) > 0 {
+			free = warm
+		}
+		if c := leastLoadedOfTwo(free, now); c != nil {
 			return c
 		}
 	}
 	all = filter(all, func(c *candidate) bool { return !tried[c.stats] && !c.stats.isLimited(now) })
-	if c := leastLoadedOfTwo(filter(all, func(c *candidate) bool { return c.stats.isAvailable(now) })); c != nil {
+	if c := leastLoadedOfTwo(filter(all, func(c *candidate) bool { return c.stats.isAvailable(now) }), now); c != nil {
 		return c
 	}
-	return leastLoadedOfTwo(all)
+	return leastLoadedOfTwo(all, now)
 }
 
 // limitDelay returns how long it takes until the limit of an upstream that has not been tried allows a call, or zero if none of them
@@ -154,6 +169,19 @@
 	return shortest
 }
 
+// isEvacuated reports whether there is no upstream for a key because all of them are in evacuated data centres.
+func (p *Picker) isEvacuated(key subsetKey) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.subset(key)
+	for _, tier := range s.tiers {
+		if len(tier) > 0 {
+			return false
+		}
+	}
+	return s.excluded
+}
+
 // lowestFaultRate returns the lowest fault rate of the upstreams that may be picked.
 func lowestFaultRate(all []*candidate, tried map[*stats]bool, now time.Time) float64 {
 	lowest := 1.0
@@ -193,7 +221,7 @@
 }
 
 // leastLoadedOfTwo returns the one of two random candidates whose cost is lower.
-func leastLoadedOfTwo(list []*candidate) *candidate {
+func leastLoadedOfTwo(list []*candidate, now time.Time) *candidate {
 	switch len(list) {
 	case 0:
 		return nil
@@ -202,17 +230,20 @@
 	}
 	i := rand.IntN(len(list))
 	j := (i + 1 + rand.IntN(len(list)-1)) % len(list)
-	if list[j].cost() < list[i].cost() {
+	if list[j].cost(now) < list[i].cost(now) {
 		return list[j]
 	}
 	return list[i]
 }
 
 // cost grows with the calls in flight and their latency, and with the tries that a call needs; the calls per slot decide while
-// no latency is known.
-func (c *candidate) cost() time.Duration {
+// no latency is known. For an upstream that reports its pace, it is the time that it is expected to need.
+func (c *candidate) cost(now time.Time) time.Duration {
 	perSlot := time.Duration(c.stats.inFlight+1) * time.Millisecond / time.Duration(max(c.upstream.Slots, 1))
 	once := perSlot + c.stats.latency*time.Duration(c.stats.inFlight+1)
+	if c.stats.load.meanPace > 0 {
+		once = perSlot + c.stats.load.expectedTime(c.stats.latency, c.stats.inFlight, c.upstream.Slots, now)
+	}
 	return time.Duration(float64(once) / (1 - min(c.stats.faultRate, maxCostFaultRate)))
 }
 
@@ -224,20 +255,26 @@
 	return c.stats.loadPermille >= fullLoadPermille && now.Sub(c.stats.loadAt) < overloadTTL
 }
 
-// subset returns the bounded list of upstreams that this node uses; it is chosen again when the members change.
+// subset returns the bounded list of upstreams that this node uses; it is chosen again when the members or the evacuations change. Cold
+// upstreams are bounded separately, so that a data centre whose upstreams are all cold uses others as well.
 func (p *Picker) subset(key subsetKey) *subset {
 	all := p.cfg.Upstreams(key.service)
+	evacuated := p.cfg.Evacuated()
 	known, found := p.subsets[key]
-	if found && sameSlice(known.all, all) {
+	if found && sameSlice(known.all, all) && maps.Equal(known.evacuated, evacuated) {
 		return known
 	}
-	s := &subset{all: all}
-	taken := 0
+	s := &subset{all: all, evacuated: evacuated}
+	taken := map[bool]int{}
 	for _, u := range p.preferred(all, key) {
-		if taken == p.cfg.SubsetSize {
-			break
+		if evacuated[u.DataCentre] {
+			s.excluded = true
+			continue
+		}
+		if taken[u.Cold] == p.cfg.SubsetSize {
+			continue
 		}
-		taken++
+		taken[u.Cold]++
 		tier := p.tier(u)
 		s.tiers[tier] = append(s.tiers[tier], &candidate{upstream: u, stats: p.statsOf(key, u)})
 		if u.Node != p.cfg.Node {
