--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -88,8 +88,6 @@
 	AnnounceInterval time.Duration
 	// AdmissionPolicy is a policy of package admit; empty means admit.PolicyArrival.
 	AdmissionPolicy string
-	// HasWorkspaces reports whether callers belong to workspaces; nil means that they do not.
-	HasWorkspaces func() bool
 	// CheckExposure returns why an upstream may not get a further call now, or REFUSAL_UNSPECIFIED if it may.
 	CheckExposure func(exposure Exposure) wirepb.Refusal
 	// ColdLimit returns how many calls a second an upstream of a service may get while it is cold, or zero if they are not limited; nil
@@ -97,6 +95,8 @@
 	ColdLimit func(service string) float64
 	// Evacuated reports whether the node's data centre is evacuated; nil means that it never is.
 	Evacuated func() bool
+	// WorkspacesDeclared reports whether workspaces are declared: only nodes may then name one to an upstream. Nil means that none are.
+	WorkspacesDeclared func() bool
 	// Observe is called when a call starts, with what is known of it by then; the function that it returns is called when the
 	// call ends.
 	Observe func(started Observation) (end func(ended Observation))
@@ -144,6 +144,9 @@
 	if cfg.Headers == nil {
 		cfg.Headers = DefaultHeaders()
 	}
+	if cfg.WorkspacesDeclared == nil {
+		cfg.WorkspacesDeclared = func() bool { return false }
+	}
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -32,6 +32,7 @@
 	"github.com/turmericdale/turmericdale/internal/source"
 	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
+	"github.com/turmericdale/turmericdale/platform"
 )
 
 // New builds a node from its settings and opens its listeners.
@@ -160,8 +161,9 @@
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
-		AdmissionPolicy: s.AdmissionPolicy,
-		Observe:         monitor.Observe,
+		AdmissionPolicy:    s.AdmissionPolicy,
+		WorkspacesDeclared: func() bool { return len(log.State().Workspaces) > 0 },
+		Observe:            monitor.Observe,
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
@@ -182,12 +184,32 @@
 	})
 }
 
+// pollsPerRevocation is the number of polls of a relay within the time in which a removed key must be refused.
+const pollsPerRevocation = 4
+
+// pollInterval returns the interval at which a relay polls the platform.
+func pollInterval(s *conf.Settings) time.Duration {
+	if s.StrictRevocation {
+		return min(s.PollInterval, s.Revoke/pollsPerRevocation)
+	}
+	return s.PollInterval
+}
+
+// revocationAge returns the age of the configuration from which requests that need a key are refused, or 0 if it does not matter. The age that
+// a node knows leaves out the time for which its relay may not have read the platform.
+func revocationAge(s *conf.Settings) time.Duration {
+	if !s.StrictRevocation {
+		return 0
+	}
+	return max(s.Revoke-relay.MaxUnread(pollInterval(s)), s.Revoke/3)
+}
+
 func newHub(s *conf.Settings, logger *zap.Logger, now clock, client *store.Client, log *oplog.Log,
 	members *member.Table, verdicts *move.Verdicts, pool *peer.Pool,
 ) *relay.Hub {
 	return relay.New(relay.Config{
 		Node: s.Name, DataCentre: s.DataCentre, PeerAddress: s.PeerAddress, Seeds: s.Seeds,
-		MaxChildren: s.MaxChildren, PollInterval: s.PollInterval, Logger: logger, Now: now,
+		MaxChildren: s.MaxChildren, PollInterval: pollInterval(s), Logger: logger, Now: now,
 		Store: client, Log: log, Members: members, Verdicts: verdicts, Pool: pool,
 	})
 }
@@ -212,6 +234,7 @@
 	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table, hub *relay.Hub,
 ) *route.Proxy {
 	return route.New(route.Config{
+		Revoke: revocationAge(s), WorkspaceName: platform.WorkspaceName,
 		Logger: logger, Node: s.Name, Service: s.Service, Headers: s.Headers, MaxBodyBytes: s.MaxBodyBytes, Now: now, State: log.State, Verdicts: verdicts,
 		RetryBudget: route.RetryBudgetConfig{
 			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: s.RetrySlack, CountNodes: members.LiveCount, Now: now,
--- a/internal/route/answer.go
+++ b/internal/route/answer.go
@@ -38,6 +38,9 @@
 	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_EVACUATED {
 		return formatSeconds(evacuatedRetryDelay + rand.N(evacuatedRetryDelay))
 	}
+	if answer.GetRefusal() == wirepb.Refusal_REFUSAL_QUOTA {
+		return quotaRetryAfter(answer)
+	}
 	soon := shortRetryDelay/2 + rand.N(shortRetryDelay)
 	if answer.GetRefusal() != wirepb.Refusal_REFUSAL_OVERLOADED {
 		return formatSeconds(soon)
@@ -65,7 +68,7 @@
 		p.writeUpstreamResponse(w, answer)
 	case wirepb.Outcome_OUTCOME_NOT_RUN:
 		w.Header().Set("Retry-After", retryAfter(answer, left, objectiveLeft))
-		writeFailure(w, http.StatusServiceUnavailable, &wirepb.Failure{
+		writeFailure(w, refusalStatus(answer), &wirepb.Failure{
 			Kind: refusalKind(answer.GetRefusal()), Message: answer.GetDetail(), NotRun: true,
 		})
 	default:
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -1,12 +1,18 @@
 package route
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
 const (
+	// slowFactor is how many times as long as the fastest candidate an upstream may be expected to take before it is avoided. Two random
+	// choices alone pick a slow upstream each time that both are slow: of eight with two slow ones, in one call of 28.
+	slowFactor = 1.6
+	// slowProbeFraction is the fraction of calls for which slow upstreams are not avoided, to notice when they recover.
+	slowProbeFraction = 0.03
 	// loadTTL is how long a reported load is used: the pace of an upstream changes several times a second.
 	loadTTL        = 400 * time.Millisecond
 	paceMeanWeight = 0.05
@@ -56,3 +62,21 @@
 	wait := max(busy-1, 0)
 	return time.Duration(factor * (1 + busy*busy + wait) * float64(latency))
 }
+
+// withoutSlow leaves out candidates that are expected to take much longer than the fastest one, if all of them report their pace. Some calls
+// still go to them, so that it is noticed when they recover.
+func withoutSlow(list []*candidate, now time.Time) []*candidate {
+	fastest := time.Duration(0)
+	for _, c := range list {
+		if c.stats.load.meanPace == 0 {
+			return list
+		}
+		if cost := c.cost(now); fastest == 0 || cost < fastest {
+			fastest = cost
+		}
+	}
+	if rand.Float64() < slowProbeFraction {
+		return list
+	}
+	return filter(list, func(c *candidate) bool { return float64(c.cost(now)) <= slowFactor*float64(fastest) })
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -228,6 +228,10 @@
 	case 1:
 		return list[0]
 	}
+	list = withoutSlow(list, now)
+	if len(list) == 1 {
+		return list[0]
+	}
 	i := rand.IntN(len(list))
 	j := (i + 1 + rand.IntN(len(list)-1)) % len(list)
 	if list[j].cost(now) < list[i].cost(now) {
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -7,7 +7,7 @@
 
 const (
 	maxPathBytes = 200
-	allowedPaths = "/system/limits, /system/evacuations/DATA_CENTRE, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -"
+	allowedPaths = "/system/limits, /system/ignored, /system/evacuations/DATA_CENTRE, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME, /teams/TEAM/workspaces/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -, those of workspaces of up to 160"
 )
 
 // systemTeam stands for the team of paths that belong to no team; ParsePath accepts no services, routes or moves under it.
@@ -19,6 +19,9 @@
 // evacuationPrefix is the prefix of the paths of evacuations.
 const evacuationPrefix = "/system/evacuations/"
 
+// IgnoredPath is the path of the list of the entries of the operator's configuration that were left out.
+const IgnoredPath = "/system/ignored"
+
 // Kind is the kind of value at a path.
 type Kind int
 
@@ -34,12 +37,17 @@
 	KindLimits
 	// KindEvacuation is the evacuation of a data centre.
 	KindEvacuation
+	// KindIgnored is the list of the entries of the operator's configuration that were left out, which nodes write.
+	KindIgnored
+	KindWorkspace
 )
 
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
 	// dataCentrePattern allows all names of data centres that the settings of a node allow.
 	dataCentrePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	// workspaceNamePattern has room for a hex-encoded name of 78 bytes, since upstreams receive the names of workspaces.
+	workspaceNamePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,159}$`)
 )
 
 // Path is a parsed path of the tree.
@@ -67,6 +75,8 @@
 	switch {
 	case len(parts) == 2 && parts[0] == "system" && parts[1] == "limits":
 		return Path{Kind: KindLimits, Team: systemTeam}, true
+	case len(parts) == 2 && parts[0] == "system" && parts[1] == "ignored":
+		return Path{Kind: KindIgnored, Team: systemTeam}, true
 	case len(parts) == 3 && parts[0] == "system" && parts[1] == "moves":
 		return Path{Kind: KindMoveRecord, Name: parts[2]}, true
 	case len(parts) == 3 && parts[0] == "system" && parts[1] == "evacuations":
@@ -76,7 +86,7 @@
 	case len(parts) != 4 || parts[0] != "teams", parts[1] == systemTeam:
 		return Path{}, false
 	}
-	kinds := map[string]Kind{"services": KindService, "routes": KindRoute, "moves": KindMove}
+	kinds := map[string]Kind{"services": KindService, "routes": KindRoute, "moves": KindMove, "workspaces": KindWorkspace}
 	kind, found := kinds[parts[2]]
 	return Path{Kind: kind, Team: parts[1], Name: parts[3]}, found
 }
@@ -86,7 +96,10 @@
 		return dataCentrePattern.MatchString(p.Name)
 	}
 	team := p.Kind == KindMoveRecord || namePattern.MatchString(p.Team)
-	name := p.Kind == KindAccess || p.Kind == KindLimits || namePattern.MatchString(p.Name)
+	if p.Kind == KindWorkspace {
+		return team && workspaceNamePattern.MatchString(p.Name)
+	}
+	name := p.Kind == KindAccess || p.Kind == KindLimits || p.Kind == KindIgnored || namePattern.MatchString(p.Name)
 	return team && name
 }
 
