--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -86,6 +86,8 @@
 	Headers *wirepb.HeaderNames
 	// AnnounceInterval is the time between two announcements of an upstream; zero means DefaultAnnounceInterval.
 	AnnounceInterval time.Duration
+	// AdmissionPolicy is a policy of package admit; empty means admit.PolicyArrival.
+	AdmissionPolicy string
 	// CheckExposure returns why an upstream may not get a further call now, or REFUSAL_UNSPECIFIED if it may.
 	CheckExposure func(exposure Exposure) wirepb.Refusal
 	// ColdLimit returns how many calls a second an upstream of a service may get while it is cold, or zero if they are not limited; nil
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -71,6 +71,7 @@
 		firstCallSeen: a.GetUptime() != nil && a.GetUptime().AsDuration() < maxFreshUptime,
 		limiter: admit.NewLimiter(admit.Config{
 			Slots: int(a.GetSlots()), QueueSize: int(a.GetSlots()) * cfg.QueueFactor, Now: cfg.Now,
+			Policy: cfg.AdmissionPolicy, HasWorkspaces: cfg.WorkspacesDeclared,
 		}),
 		pacer: admit.NewPacer(admit.PacerConfig{
 			Now: cfg.Now, Unknown: unknown, UncountedUntil: uncountedUntil,
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -161,6 +161,7 @@
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
+		AdmissionPolicy:    s.AdmissionPolicy,
 		WorkspacesDeclared: func() bool { return len(log.State().Workspaces) > 0 },
 		Observe:            monitor.Observe,
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -142,15 +142,15 @@
 		if warm := filter(free, func(c *candidate) bool { return !c.upstream.Cold }); len(warm) > 0 {
 			free = warm
 		}
-		if c := leastLoadedOfTwo(free); c != nil {
+		if c := leastLoadedOfTwo(free, now); c != nil {
 			return c
 		}
 	}
 	all = filter(all, func(c *candidate) bool { return !tried[c.stats] && !c.stats.isLimited(now) })
-	if c := leastLoadedOfTwo(filter(all, func(c *candidate) bool { return c.stats.isAvailable(now) })); c != nil {
+	if c := leastLoadedOfTwo(filter(all, func(c *candidate) bool { return c.stats.isAvailable(now) }), now); c != nil {
 		return c
 	}
-	return leastLoadedOfTwo(all)
+	return leastLoadedOfTwo(all, now)
 }
 
 // limitDelay returns how long it takes until the limit of an upstream that has not been tried allows a call, or zero if none of them
@@ -221,26 +221,33 @@
 }
 
 // leastLoadedOfTwo returns the one of two random candidates whose cost is lower.
-func leastLoadedOfTwo(list []*candidate) *candidate {
+func leastLoadedOfTwo(list []*candidate, now time.Time) *candidate {
 	switch len(list) {
 	case 0:
 		return nil
 	case 1:
 		return list[0]
 	}
+	list = withoutSlow(list, now)
+	if len(list) == 1 {
+		return list[0]
+	}
 	i := rand.IntN(len(list))
 	j := (i + 1 + rand.IntN(len(list)-1)) % len(list)
-	if list[j].cost() < list[i].cost() {
+	if list[j].cost(now) < list[i].cost(now) {
 		return list[j]
 	}
 	return list[i]
 }
 
 // cost grows with the calls in flight and their latency, and with the tries that a call needs; the calls per slot decide while
-// no latency is known.
-func (c *candidate) cost() time.Duration {
+// no latency is known. For an upstream that reports its pace, it is the time that it is expected to need.
+func (c *candidate) cost(now time.Time) time.Duration {
 	perSlot := time.Duration(c.stats.inFlight+1) * time.Millisecond / time.Duration(max(c.upstream.Slots, 1))
 	once := perSlot + c.stats.latency*time.Duration(c.stats.inFlight+1)
+	if c.stats.load.meanPace > 0 {
+		once = perSlot + c.stats.load.expectedTime(c.stats.latency, c.stats.inFlight, c.upstream.Slots, now)
+	}
 	return time.Duration(float64(once) / (1 - min(c.stats.faultRate, maxCostFaultRate)))
 }
 
