--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -27,6 +27,7 @@
 	"github.com/turmericdale/turmericdale/internal/move"
 	"github.com/turmericdale/turmericdale/internal/oplog"
 	"github.com/turmericdale/turmericdale/internal/peer"
+	"github.com/turmericdale/turmericdale/internal/quota"
 	"github.com/turmericdale/turmericdale/internal/relay"
 	"github.com/turmericdale/turmericdale/internal/route"
 	"github.com/turmericdale/turmericdale/internal/source"
@@ -44,7 +45,7 @@
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
 		newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newDepartures, newLocalRegistry, newHub,
-		newPicker, newEgress, newClaims, newImporter, newProxy, newStatusSource, newAdmin, newNode,
+		newPicker, newEgress, newClaims, newQuotaSource, newQuota, newImporter, newProxy, newStatusSource, newAdmin, newNode,
 	}
 	for _, c := range constructors {
 		if err := container.Provide(c); err != nil {
@@ -150,6 +151,57 @@
 	return reply, frame.Read(bufio.NewReader(stream), reply, maxEvidenceReplyBytes)
 }
 
+// quotaSource returns the quotas in force by workspace. It is called for each call of a workspace, so that it must not build the map.
+type quotaSource func() map[string]quota.Quota
+
+// newQuotaSource returns no quotas: the configuration declares no workspaces.
+func newQuotaSource() quotaSource { return func() map[string]quota.Quota { return nil } }
+
+func newQuota(s *conf.Settings, logger *zap.Logger, now clock, members *member.Table, hub *relay.Hub, pool *peer.Pool, quotas quotaSource) *quota.Limiter {
+	return quota.New(quota.Config{
+		Node: s.Name, Life: members.Record(s.Name).GetLife(), Now: now, Logger: logger, Quotas: quotas, Joined: hub.Joined,
+		Bounds:  quota.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
+		Members: func(silent time.Duration) []quota.Member { return quotaMembers(s.Name, members, silent) },
+		Send: func(ctx context.Context, node string, request *wirepb.QuotaRequest) (*wirepb.QuotaReply, error) {
+			address, err := netip.ParseAddrPort(members.Record(node).GetPeerAddress())
+			if err != nil {
+				return nil, errors.Wrap(err, "address of quota owner")
+			}
+			return sendQuota(ctx, pool, address, request)
+		},
+	})
+}
+
+// quotaMembers returns the nodes that are live, have left, or went down less than a time ago, ordered by name. This node is live whatever
+// others say.
+func quotaMembers(self string, members *member.Table, silent time.Duration) []quota.Member {
+	var list []quota.Member
+	for _, r := range members.Records() {
+		down := r.GetDown() && r.GetNode() != self
+		if !down || r.GetLeft() || members.RecordAge(r.GetNode()) < silent {
+			list = append(list, quota.Member{Name: r.GetNode(), Live: !down, Left: down && r.GetLeft()})
+		}
+	}
+	return list
+}
+
+const maxQuotaReplyBytes = 1 << 20
+
+func sendQuota(ctx context.Context, pool *peer.Pool, address netip.AddrPort, request *wirepb.QuotaRequest) (*wirepb.QuotaReply, error) {
+	stream, err := pool.OpenStream(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	if err := stream.Send(ctx, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Quota{Quota: request}}); err != nil {
+		return nil, err
+	}
+	reply := &wirepb.QuotaReply{}
+	return reply, frame.Read(stream.Reader, reply, maxQuotaReplyBytes)
+}
+
 func newDepartures(s *conf.Settings, logger *zap.Logger, now clock, client *store.Client) *depart.Ledger {
 	return depart.New(depart.Config{Node: s.Name, Logger: logger, Now: now, Store: client})
 }
@@ -226,7 +278,7 @@
 		serving:  make(chan struct{}),
 		settings: deps.Settings, logger: deps.Logger, now: deps.Now, store: deps.Store, log: deps.Log, members: deps.Members,
 		verdicts: deps.Verdicts, pool: deps.Pool, moveController: deps.MoveController, localRegistry: deps.LocalRegistry, hub: deps.Hub, picker: deps.Picker, egress: deps.Egress,
-		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
+		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, quota: deps.Quota, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
 	}
 	deps.Status.node = n
 	deps.Metrics.RegisterCounter("log_lines_dropped_total", "Log lines for which there was no room.", nil, func() float64 { return float64(deps.Sink.Dropped.Load()) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/turmericdale/turmericdale/internal/move"
 	"github.com/turmericdale/turmericdale/internal/oplog"
 	"github.com/turmericdale/turmericdale/internal/peer"
+	"github.com/turmericdale/turmericdale/internal/quota"
 	"github.com/turmericdale/turmericdale/internal/relay"
 	"github.com/turmericdale/turmericdale/internal/route"
 	"github.com/turmericdale/turmericdale/internal/source"
@@ -68,6 +69,7 @@
 	Egress         *egress.Limiter
 	Claims         *claim.Registry
 	Departures     *depart.Ledger
+	Quota          *quota.Limiter
 	Importer       *source.Importer
 	Proxy          *route.Proxy
 	Admin          *admin.Server
@@ -92,6 +94,7 @@
 	egress         *egress.Limiter
 	claims         *claim.Registry
 	departures     *depart.Ledger
+	quota          *quota.Limiter
 	importer       *source.Importer
 	proxy          *route.Proxy
 	admin          *admin.Server
@@ -131,7 +134,7 @@
 	}
 	n.peerServer = peer.NewServer(peer.ServerConfig{
 		Listener: peerListener, MaxHeadBytes: n.settings.MaxBodyBytes + headReserveBytes,
-		OnPanic: n.logPanic, ServeCall: n.serveCall, ServeLink: n.hub.ServeLink, HandleEvidence: n.handleEvidence, HandleInvitation: n.hub.HandleInvitation,
+		OnPanic: n.logPanic, ServeCall: n.serveCall, ServeLink: n.hub.ServeLink, HandleEvidence: n.handleEvidence, HandleQuota: n.handleQuota, HandleInvitation: n.hub.HandleInvitation,
 	})
 	return nil
 }
@@ -174,6 +177,11 @@
 	_ = frame.Write(conn, n.moveController.HandleReport(report))
 }
 
+func (n *Node) handleQuota(conn net.Conn, request *wirepb.QuotaRequest) {
+	_ = conn.SetWriteDeadline(time.Now().Add(headerTimeout))
+	_ = frame.Write(conn, n.quota.HandleRequest(request))
+}
+
 // Run serves until the context ends, then stops gracefully; it returns *StopTimeoutError if calls were still running at the
 // stop timeout.
 func (n *Node) Run(ctx context.Context) error {
@@ -216,6 +224,7 @@
 	run(n.moveController.Run)
 	run(n.localRegistry.RunExpiry)
 	run(n.runExpiry)
+	run(n.quota.Run)
 	run(n.watchStalls)
 	if n.settings.OperatorRows {
 		run(n.importer.Run)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -103,6 +104,7 @@
 	m.RegisterCounter("platform_writes_total", "Writes to the platform.", nil, func() float64 { return float64(n.store.Counters.Writes.Load()) })
 	m.RegisterCounter("platform_failures_total", "Operations that did not reach the platform.", nil, func() float64 { return float64(n.store.Counters.Failures.Load()) })
 	m.RegisterCounter("peer_refused_total", "Sessions and streams of nodes refused for their form.", nil, func() float64 { return float64(n.peerServer.Rejected.Load()) })
+	n.registerQuotaMetrics()
 	for kind, name := range relay.FrameKindNames {
 		labels := map[string]string{"kind": name}
 		m.RegisterCounter("control_sent_bytes_total", "Bytes of link messages sent, by kind.", labels, func() float64 { return float64(n.hub.Counters.SentBytes[kind].Load()) })
@@ -110,3 +112,17 @@
 		m.RegisterCounter("control_received_bytes_total", "Bytes of link messages received, by kind.", labels, func() float64 { return float64(n.hub.Counters.ReceivedBytes[kind].Load()) })
 	}
 }
+
+// registerQuotaMetrics registers the metrics of the quotas of workspaces. They are not divided by workspace: there may be many.
+func (n *Node) registerQuotaMetrics() {
+	counters := &n.quota.Counters
+	for decision, count := range map[string]*atomic.Uint64{
+		"admitted": &counters.Admitted, "exceeded": &counters.Exceeded, "unavailable": &counters.Unavailable, "returned": &counters.Returned,
+	} {
+		n.metrics.RegisterCounter("quota_calls_total", "Calls of workspaces with a quota, by decision.", map[string]string{"decision": decision}, func() float64 { return float64(count.Load()) })
+	}
+	for kind, count := range map[string]*atomic.Uint64{"sent": &counters.Requests, "unanswered": &counters.Failures, "served": &counters.Served} {
+		n.metrics.RegisterCounter("quota_requests_total", "Requests for quota tokens, by kind.", map[string]string{"kind": kind}, func() float64 { return float64(count.Load()) })
+	}
+	n.metrics.RegisterCounter("quota_granted_total", "Quota tokens granted to nodes, this one included.", nil, func() float64 { return float64(counters.Granted.Load()) })
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -48,6 +48,7 @@
 	n.logger.Info("node stopping", zap.Int("calls_running", n.runningCount()))
 	started := n.now()
 	n.callerServer.DisableKeepAlives()
+	n.quota.Leave()
 	// Connections that are waiting for the first configuration must be accepted before the listener is closed.
 	<-n.serving
 	time.Sleep(max(n.settings.LeaveTime, minLeaveDuration))
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// Guards against requests for quota tokens that reach no handler.
+func TestQuotaRequestIsServed(t *testing.T) {
+	s, address := newServer(t)
+	s.cfg.HandleQuota = func(conn net.Conn, request *wirepb.QuotaRequest) {
+		_ = frame.Write(conn, &wirepb.QuotaReply{Grants: []*wirepb.QuotaGrant{{Workspace: request.GetNode()}}})
+	}
+	stream, err := newPool(t).OpenStream(t.Context(), address)
+	require.NoError(t, err)
+	defer func() { _ = stream.Close() }()
+	require.NoError(t, frame.Write(stream, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Quota{Quota: &wirepb.QuotaRequest{Node: "a"}}}))
+	reply := &wirepb.QuotaReply{}
+	require.NoError(t, frame.Read(stream.Reader, reply, maxHeadBytes))
+	require.Equal(t, "a", reply.GetGrants()[0].GetWorkspace())
+}
+
 // A panic costs the stream that it happens in, not the process, the session or other streams.
 func TestPanicEndsOneStream(t *testing.T) {
 	s, address := newServer(t)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -26,10 +26,12 @@
 type ServerConfig struct {
 	Listener net.Listener
 	// MaxHeadBytes limits the message that starts a stream or a call, including the call's body.
-	MaxHeadBytes     int64
-	ServeCall        func(ctx context.Context, conn net.Conn, head *wirepb.CallHead)
-	ServeLink        func(ctx context.Context, conn net.Conn, reader *bufio.Reader, hello *wirepb.LinkHello)
-	HandleEvidence   func(conn net.Conn, report *wirepb.EvidenceReport)
+	MaxHeadBytes   int64
+	ServeCall      func(ctx context.Context, conn net.Conn, head *wirepb.CallHead)
+	ServeLink      func(ctx context.Context, conn net.Conn, reader *bufio.Reader, hello *wirepb.LinkHello)
+	HandleEvidence func(conn net.Conn, report *wirepb.EvidenceReport)
+	// HandleQuota replies to a request for quota tokens; nil rejects it.
+	HandleQuota      func(conn net.Conn, request *wirepb.QuotaRequest)
 	HandleInvitation func(invitation *wirepb.LinkRedirect)
 	// OnPanic is called with the value and the stack of a panic in a handler, which ends only the stream; nil ignores it.
 	OnPanic func(value any, stack []byte)
@@ -128,6 +130,12 @@
 		s.cfg.HandleEvidence(stream, kind.Evidence)
 	case *wirepb.StreamHead_Invitation:
 		s.cfg.HandleInvitation(kind.Invitation)
+	case *wirepb.StreamHead_Quota:
+		if s.cfg.HandleQuota == nil {
+			s.Rejected.Add(1)
+			return
+		}
+		s.cfg.HandleQuota(stream, kind.Quota)
 	default:
 		s.Rejected.Add(1)
 	}
--- a/internal/relay/invite_test.go
+++ b/internal/relay/invite_test.go
@@ -182,6 +182,8 @@
 	h := startNode(t, "node", address)
 	require.Eventually(t, func() bool { return h.IsRelay() && platform.SystemRow("node/dc", "node/dc/node") != nil }, waitTimeout, pollInterval)
 	h.Leave(t.Context())
+	record := h.cfg.Members.Record("node")
+	require.True(t, record.GetDown() && record.GetLeft(), "a planned stop is told from a node that fell silent")
 	require.Nil(t, platform.SystemRow("node/dc", "node/dc/node"))
 	require.Nil(t, platform.Row("", "relay/dc/0"))
 }
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -375,13 +375,13 @@
 	return "", false
 }
 
-// Leave marks this node as down in its member record and deletes its node row and its lease from the platform.
+// Leave marks this node as down and as having left in its member record, and deletes its node row and its lease from the platform.
 func (h *Hub) Leave(ctx context.Context) {
 	h.mu.Lock()
 	h.leaving = true
 	h.mu.Unlock()
 	h.cfg.Members.UpdateSelf(func(record *wirepb.MemberRecord) {
-		record.Down, record.Upstreams = true, nil
+		record.Down, record.Left, record.Upstreams = true, true, nil
 	})
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
