--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,10 +28,12 @@
 	"github.com/turmericdale/turmericdale/internal/move"
 	"github.com/turmericdale/turmericdale/internal/oplog"
 	"github.com/turmericdale/turmericdale/internal/peer"
+	"github.com/turmericdale/turmericdale/internal/quota"
 	"github.com/turmericdale/turmericdale/internal/relay"
 	"github.com/turmericdale/turmericdale/internal/route"
 	"github.com/turmericdale/turmericdale/internal/source"
 	"github.com/turmericdale/turmericdale/internal/store"
+	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 	"github.com/turmericdale/turmericdale/platform"
 )
@@ -45,7 +48,7 @@
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
 		newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newDepartures, newLocalRegistry, newHub,
-		newPicker, newEgress, newClaims, newImporter, newProxy, newStatusSource, newAdmin, newNode,
+		newPicker, newEgress, newClaims, newQuotaSource, newQuota, newImporter, newProxy, newStatusSource, newAdmin, newNode,
 	}
 	for _, c := range constructors {
 		if err := container.Provide(c); err != nil {
@@ -151,6 +154,84 @@
 	return reply, frame.Read(bufio.NewReader(stream), reply, maxEvidenceReplyBytes)
 }
 
+// quotaSource returns the quotas in force by workspace. It is called for each call of a workspace, so that it must not build the map.
+type quotaSource func() map[string]quota.Quota
+
+func newQuotaSource(log *oplog.Log) quotaSource {
+	type quotasOfState struct {
+		state  *tree.State
+		quotas map[string]quota.Quota
+	}
+	var newest atomic.Pointer[quotasOfState]
+	return func() map[string]quota.Quota {
+		state := log.State()
+		if known := newest.Load(); known != nil && known.state == state {
+			return known.quotas
+		}
+		quotas := make(map[string]quota.Quota, len(state.Workspaces))
+		for name, w := range state.Workspaces {
+			quotas[name] = quota.Quota{Rate: w.Rate, Burst: w.Burst}
+		}
+		newest.Store(&quotasOfState{state: state, quotas: quotas})
+		return quotas
+	}
+}
+
+// checkQuota decides on a call of a workspace by the tokens of its quota.
+func checkQuota(limiter *quota.Limiter) func(ctx context.Context, w *tree.Workspace, wait time.Duration) route.QuotaDecision {
+	return func(ctx context.Context, w *tree.Workspace, wait time.Duration) route.QuotaDecision {
+		decision := limiter.Take(ctx, w.Name, wait)
+		return route.QuotaDecision{
+			Admitted: decision.Admitted, Unavailable: decision.Unavailable, RetryAfter: decision.RetryAfter, Release: decision.Release,
+		}
+	}
+}
+
+func newQuota(s *conf.Settings, logger *zap.Logger, now clock, members *member.Table, hub *relay.Hub, pool *peer.Pool, quotas quotaSource) *quota.Limiter {
+	return quota.New(quota.Config{
+		Node: s.Name, Life: members.Record(s.Name).GetLife(), Now: now, Logger: logger, Quotas: quotas, Joined: hub.Joined,
+		Bounds:  quota.Bounds{Window: s.QuotaWindow, Overage: s.QuotaOverage, Slack: s.QuotaSlack},
+		Members: func(silent time.Duration) []quota.Member { return quotaMembers(s.Name, members, silent) },
+		Send: func(ctx context.Context, node string, request *wirepb.QuotaRequest) (*wirepb.QuotaReply, error) {
+			address, err := netip.ParseAddrPort(members.Record(node).GetPeerAddress())
+			if err != nil {
+				return nil, errors.Wrap(err, "address of quota owner")
+			}
+			return sendQuota(ctx, pool, address, request)
+		},
+	})
+}
+
+// quotaMembers returns the nodes that are live, have left, or went down less than a time ago, ordered by name. This node is live whatever
+// others say.
+func quotaMembers(self string, members *member.Table, silent time.Duration) []quota.Member {
+	var list []quota.Member
+	for _, r := range members.Records() {
+		down := r.GetDown() && r.GetNode() != self
+		if !down || r.GetLeft() || members.RecordAge(r.GetNode()) < silent {
+			list = append(list, quota.Member{Name: r.GetNode(), Live: !down, Left: down && r.GetLeft()})
+		}
+	}
+	return list
+}
+
+const maxQuotaReplyBytes = 1 << 20
+
+func sendQuota(ctx context.Context, pool *peer.Pool, address netip.AddrPort, request *wirepb.QuotaRequest) (*wirepb.QuotaReply, error) {
+	stream, err := pool.OpenStream(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	if err := stream.Send(ctx, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Quota{Quota: request}}); err != nil {
+		return nil, err
+	}
+	reply := &wirepb.QuotaReply{}
+	return reply, frame.Read(stream.Reader, reply, maxQuotaReplyBytes)
+}
+
 func newDepartures(s *conf.Settings, logger *zap.Logger, now clock, client *store.Client) *depart.Ledger {
 	return depart.New(depart.Config{Node: s.Name, Logger: logger, Now: now, Store: client})
 }
@@ -231,7 +312,7 @@
 }
 
 func newProxy(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
-	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table, hub *relay.Hub,
+	localRegistry *local.Registry, claims *claim.Registry, metrics *meter.Metrics, status *statusSource, members *member.Table, hub *relay.Hub, quotas *quota.Limiter,
 ) *route.Proxy {
 	return route.New(route.Config{
 		Revoke: revocationAge(s), WorkspaceName: platform.WorkspaceName,
@@ -239,7 +320,7 @@
 		RetryBudget: route.RetryBudgetConfig{
 			Ratio: s.RetryRatio, Reserve: float64(s.RetryReserve), Slack: s.RetrySlack, CountNodes: members.LiveCount, Now: now,
 		},
-		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims,
+		Picker: picker, Pool: pool, Local: localRegistry, Claims: claims, Quota: checkQuota(quotas),
 		Observe: metrics.ObserveCall, OnInvalidRequest: func() { metrics.CountInvalidInput("caller") }, OnRetry: metrics.CountRetry,
 		ReceivedAt: front.ReceivedAt, ConfigurationAge: hub.Age, Stopping: func() bool { return status.node.stopping.Load() },
 	})
@@ -258,7 +339,7 @@
 		serving:  make(chan struct{}),
 		settings: deps.Settings, logger: deps.Logger, now: deps.Now, store: deps.Store, log: deps.Log, members: deps.Members,
 		verdicts: deps.Verdicts, pool: deps.Pool, moveController: deps.MoveController, localRegistry: deps.LocalRegistry, hub: deps.Hub, picker: deps.Picker, egress: deps.Egress,
-		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
+		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, quota: deps.Quota, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
 	}
 	deps.Status.node = n
 	deps.Metrics.RegisterCounter("log_lines_dropped_total", "Log lines for which there was no room.", nil, func() float64 { return float64(deps.Sink.Dropped.Load()) })
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -120,6 +120,7 @@
 	m.RegisterCounter("cold_refused_total", "Calls refused because of the limit of a cold upstream.", nil, func() float64 { return float64(n.localRegistry.ColdRefusals.Load()) })
 	m.RegisterGauge("evacuated_data_centres", "Data centres that are evacuated.", func() float64 { return float64(len(n.log.State().Evacuated)) })
 	m.RegisterCounter("evacuation_refused_total", "Calls to local upstreams refused because the data centre is evacuated.", nil, func() float64 { return float64(n.localRegistry.EvacuationRefusals.Load()) })
+	n.registerQuotaMetrics()
 	for kind, name := range relay.FrameKindNames {
 		labels := map[string]string{"kind": name}
 		m.RegisterCounter("control_sent_bytes_total", "Bytes of link messages sent, by kind.", labels, func() float64 { return float64(n.hub.Counters.SentBytes[kind].Load()) })
@@ -127,3 +128,17 @@
 		m.RegisterCounter("control_received_bytes_total", "Bytes of link messages received, by kind.", labels, func() float64 { return float64(n.hub.Counters.ReceivedBytes[kind].Load()) })
 	}
 }
+
+// registerQuotaMetrics registers the metrics of the quotas of workspaces. They are not divided by workspace: there may be many.
+func (n *Node) registerQuotaMetrics() {
+	counters := &n.quota.Counters
+	for decision, count := range map[string]*atomic.Uint64{
+		"admitted": &counters.Admitted, "exceeded": &counters.Exceeded, "unavailable": &counters.Unavailable, "returned": &counters.Returned,
+	} {
+		n.metrics.RegisterCounter("quota_calls_total", "Calls of workspaces with a quota, by decision.", map[string]string{"decision": decision}, func() float64 { return float64(count.Load()) })
+	}
+	for kind, count := range map[string]*atomic.Uint64{"sent": &counters.Requests, "unanswered": &counters.Failures, "served": &counters.Served} {
+		n.metrics.RegisterCounter("quota_requests_total", "Requests for quota tokens, by kind.", map[string]string{"kind": kind}, func() float64 { return float64(count.Load()) })
+	}
+	n.metrics.RegisterCounter("quota_granted_total", "Quota tokens granted to nodes, this one included.", nil, func() float64 { return float64(counters.Granted.Load()) })
+}
--- a/internal/route/auth.go
+++ b/internal/route/auth.go
@@ -38,6 +38,13 @@
 	Revoked atomic.Int64
 }
 
+const (
+	// quotaWaitDivisor and maxQuotaWait bound the time that a call waits for the decision on its quota: a part of its latency objective, and
+	// several round trips between data centres.
+	quotaWaitDivisor = 10
+	maxQuotaWait     = 100 * time.Millisecond
+)
+
 // QuotaDecision says whether a call of a workspace is within its quota.
 type QuotaDecision struct {
 	Admitted bool
@@ -128,7 +135,7 @@
 	if p.cfg.Quota == nil || c.workspace == nil {
 		return p.serve(ctx, c)
 	}
-	decision := p.cfg.Quota(ctx, c.workspace)
+	decision := p.cfg.Quota(ctx, c.workspace, min(c.route.LatencyObjective/quotaWaitDivisor, maxQuotaWait))
 	if !decision.Admitted {
 		return quotaAnswer(c.head, decision)
 	}
--- a/internal/route/auth_test.go
+++ b/internal/route/auth_test.go
@@ -237,7 +237,7 @@
 func TestQuota(t *testing.T) {
 	f := newAuthFixture(t)
 	decision, asked, released := QuotaDecision{}, "", 0
-	f.proxy.cfg.Quota = func(_ context.Context, w *tree.Workspace) QuotaDecision {
+	f.proxy.cfg.Quota = func(_ context.Context, w *tree.Workspace, _ time.Duration) QuotaDecision {
 		asked = w.Name
 		return decision
 	}
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -72,8 +72,9 @@
 	Revoke time.Duration
 	// WorkspaceName returns the name by which upstreams know a workspace of the tree; nil means that names are the same.
 	WorkspaceName func(name string) string
-	// Quota decides on a call of a workspace after its authentication, before it runs; nil means that there is no limit.
-	Quota func(ctx context.Context, w *tree.Workspace) QuotaDecision
+	// Quota decides on a call of a workspace after its authentication, before it runs, and may wait for a time; nil means that there is no
+	// limit.
+	Quota func(ctx context.Context, w *tree.Workspace, wait time.Duration) QuotaDecision
 	// Stopping reports whether the node is stopping: running calls are then left to finish.
 	Stopping func() bool
 	// OnRetry is called for each retry.
