--- a/internal/emul/upstream.go
+++ b/internal/emul/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -29,7 +30,7 @@
 	announceInterval    = time.Second
 	announceTimeout     = 500 * time.Millisecond
 	maxRequestBodyBytes = 16 << 20
-	paddingBytes        = 512
+	defaultPaddingBytes = 512
 	loadReportInterval  = 3 * time.Second
 )
 
@@ -66,6 +67,8 @@
 	ColdStartDuration time.Duration
 	ColdStartDelay    time.Duration
 	Fault             Fault
+	// PaddingBytes is the size of the padding of each response; zero means 512.
+	PaddingBytes int
 	// SkipDeregistration lets the upstream stop without announcing it; it still serves calls until the drain timeout.
 	SkipDeregistration bool
 }
@@ -376,7 +379,7 @@
 	id := r.Header.Get(HeaderRequestID)
 	data, err := json.Marshal(ResponseBody{
 		Service: u.cfg.Service, Version: u.cfg.Version, RequestID: id,
-		Digest: Digest(id, body), Padding: string(bytes.Repeat([]byte("x"), paddingBytes)),
+		Digest: Digest(id, body), Padding: string(bytes.Repeat([]byte("x"), cmp.Or(u.cfg.PaddingBytes, defaultPaddingBytes))),
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/test/proof/deploy_test.go
+++ b/test/proof/deploy_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -72,6 +73,8 @@
 	nodes           map[string]*exec.Cmd
 	directory       string
 	upstreams       map[netip.AddrPort]*runningUpstream
+	// maxDescriptors is the limit that the operating system sets for each node; zero means that of the tests.
+	maxDescriptors int
 }
 
 type runningUpstream struct {
@@ -144,6 +147,10 @@
 	log, err := os.OpenFile(filepath.Join(d.directory, v.Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(d.t, err)
 	cmd := exec.Command(nodeBinary, "node", "run", "--settings", filepath.Join(d.directory, v.Node+".jsonc"))
+	if d.maxDescriptors > 0 {
+		limit := "ulimit -n " + strconv.Itoa(d.maxDescriptors) + `; exec "$0" "$@"`
+		cmd = exec.Command("sh", append([]string{"-c", limit}, cmd.Args...)...)
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	require.NoError(d.t, cmd.Start())
 	require.NoError(d.t, log.Close())
