--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -16,11 +16,15 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/turmericdale/turmericdale/internal/budget"
 	"github.com/turmericdale/turmericdale/internal/local"
 	"github.com/turmericdale/turmericdale/internal/route"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
+// MaxDescriptors is the greatest number of file descriptors of a process.
+const MaxDescriptors = 1 << 24
+
 // DefaultMaxChildren is the number of links that a node accepts from nodes below it unless its settings say otherwise.
 const DefaultMaxChildren = 16
 
@@ -52,7 +56,6 @@
 	minMemoryBytes      = 16 << 20
 	minMemoryLimitBytes = 64 << 20
 	minDescriptors      = 64
-	maxDescriptors      = 1 << 24
 	defaultColdOverage  = 1
 	maxColdOverage      = 100
 	defaultQuotaWindow  = 5 * time.Second
@@ -149,6 +152,16 @@
 	AdmissionPolicy string
 }
 
+// SoftMemoryLimit returns the limit that the Go runtime works towards: memory_bytes or a part of the memory of the process, the lower of those
+// that are set, or 0.
+func (s *Settings) SoftMemoryLimit() int64 {
+	limit := budget.SoftLimit(s.MemoryLimitBytes)
+	if limit == 0 || s.MemoryBytes > 0 && s.MemoryBytes < limit {
+		return s.MemoryBytes
+	}
+	return limit
+}
+
 // WithGracePeriod returns the settings of a process that is killed when the grace period after SIGTERM ends: the stop timeout
 // leaves room for the rest of the stop, and the leave time leaves half of it to calls. Zero means that the period is not known.
 func (s *Settings) WithGracePeriod(period time.Duration) *Settings {
@@ -255,7 +268,7 @@
 		StrictRevocation:  s.GetStrictRevocation(),
 		Revoke:            c.durationText("revoke", s.GetRevoke(), defaultRevoke, minQuotaWindow, maxQuotaWindow),
 		MemoryLimitBytes:  int64(c.number("memory_limit_bytes", s.GetMemoryLimitBytes(), 0, minMemoryLimitBytes, maxMemoryBytes)),
-		MaxDescriptors:    c.number("max_descriptors", uint64(s.GetMaxDescriptors()), 0, minDescriptors, maxDescriptors),
+		MaxDescriptors:    c.number("max_descriptors", uint64(s.GetMaxDescriptors()), 0, minDescriptors, MaxDescriptors),
 		AdmissionPolicy:   c.oneOf("admission_policy", s.GetAdmissionPolicy(), "arrival", "least_loss"),
 	}
 }
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -80,6 +81,31 @@
 	return &ReadError{Message: messageName(message), Cause: err}
 }
 
+// NextSize returns the size of the next message without reading it; it returns io.EOF if the stream ends between messages, or *ReadError.
+func NextSize(r *bufio.Reader) (int64, error) {
+	for n := 1; ; n++ {
+		prefix, err := r.Peek(n)
+		switch {
+		case err != nil && n == 1 && errors.Is(err, io.EOF):
+			return 0, err
+		case err != nil:
+			return 0, &ReadError{Message: "size", Cause: err}
+		}
+		if prefix[n-1] < 1<<7 || n == binary.MaxVarintLen64 {
+			size, width := binary.Uvarint(prefix)
+			if width <= 0 || size > math.MaxInt64 {
+				return 0, &ReadError{Message: "size", Cause: &SizeError{}}
+			}
+			return int64(size), nil
+		}
+	}
+}
+
+// SizeError says that the size of a message is not valid.
+type SizeError struct{}
+
+func (e *SizeError) Error() string { return "invalid size" }
+
 func messageName(message proto.Message) string {
 	return string(message.ProtoReflect().Descriptor().Name())
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericdale/turmericdale/internal/budget"
 	"github.com/turmericdale/turmericdale/internal/probe"
 )
 
@@ -26,9 +28,18 @@
 	requestContext context.Context
 	cancelRequests context.CancelFunc
 	limited        *io.LimitedReader
+	source         *source
 	reader         *bufio.Reader
+	// account holds what the connection takes besides its requests.
+	account *budget.Account
+	// closedForNew means that the connection was closed for a new one. The mutex of the server guards it.
+	closedForNew bool
 
 	mu sync.Mutex
+	// dropping means that the request that is being read is refused because memory is short.
+	dropping bool
+	// idleSince is when the connection was opened or its last response written.
+	idleSince time.Time
 	// reading means that a request has begun to arrive and has not been read to its end.
 	reading bool
 	// pending is the number of requests that were read and have no response yet.
@@ -43,9 +54,10 @@
 
 func newConn(s *Server, accepted net.Conn, cancel context.CancelFunc) *conn {
 	limited := &io.LimitedReader{R: accepted}
+	source := &source{limited: limited}
 	return &conn{
-		server: s, netConn: accepted, cancel: cancel, limited: limited,
-		reader: bufio.NewReaderSize(limited, readBufferBytes), slots: make(chan struct{}, maxPipelinedRequests),
+		server: s, netConn: accepted, cancel: cancel, limited: limited, source: source, idleSince: time.Now(),
+		reader: bufio.NewReaderSize(source, readBufferBytes), slots: make(chan struct{}, maxPipelinedRequests),
 	}
 }
 
@@ -59,13 +71,16 @@
 	close(newestWritten)
 	_ = c.netConn.SetReadDeadline(time.Now().Add(c.server.cfg.Limits().IdleTimeout))
 	for {
-		request, err := c.readRequest()
+		c.allowDrop()
+		request, account, err := c.readRequest()
 		if err != nil {
+			account.Close()
 			c.handleReadError(ctx, err, newestWritten)
 			return
 		}
 		handler := c.beginRequest()
 		if handler == nil {
+			account.Close()
 			if c.isIdle() {
 				return
 			}
@@ -76,6 +91,7 @@
 		newestWritten = next
 		wait.Go(func() {
 			defer func() { <-c.slots }()
+			defer account.Close()
 			c.serveRequest(ctx, handler, request, previous)
 			c.finishRequest()
 			close(next)
@@ -98,35 +114,80 @@
 // of the connection, as the caller has closed it or is too slow.
 func (c *conn) handleReadError(ctx context.Context, err error, previousWritten chan struct{}) {
 	var invalid *InvalidRequestError
-	if !errors.As(err, &invalid) {
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &invalid):
+		c.server.cfg.OnInvalidRequest()
+	case errors.As(err, &refused):
+	default:
 		if !c.isIdle() {
 			c.server.cfg.OnAbandoned()
 		}
 		c.cancel()
 		return
 	}
-	c.server.cfg.OnInvalidRequest()
 	select {
 	case <-previousWritten:
 	case <-ctx.Done():
 		return
 	}
+	if refused != nil {
+		c.refuse(refused)
+		return
+	}
 	w := &bufferedResponse{header: http.Header{"Content-Type": {"text/plain"}}, status: invalid.Status}
 	_, _ = w.Write([]byte(invalid.Error() + "\n"))
-	_ = c.writeResponse(w, nil, true)
+	_ = c.writeResponse(w, nil, nil, true)
+}
+
+// refuse responds to a request for which there is no memory and reads what its caller still sends, so that the response is not lost with the
+// connection.
+func (c *conn) refuse(refused *RefusedError) {
+	request := refused.Request
+	if request == nil {
+		request = &http.Request{Header: http.Header{}, URL: &url.URL{Path: "/"}}
+	}
+	w := c.handle(c.server.cfg.OverloadHandler, request)
+	if c.writeResponse(w, nil, nil, true) == nil {
+		c.limited.N = 1 << 62
+		_, _ = io.Copy(io.Discard, c.reader)
+	}
 }
 
-// readRequest reads the next request with its whole body.
-func (c *conn) readRequest() (*http.Request, error) {
+// readRequest reads the next request with its whole body, and returns the account that holds what it takes.
+func (c *conn) readRequest() (*http.Request, *budget.Account, error) {
 	limits := c.server.cfg.Limits()
 	c.limited.N = limits.MaxHeaderBytes + readBufferBytes
 	if err := c.awaitRequest(limits.HeaderTimeout); err != nil {
+		return nil, nil, err
+	}
+	account := c.server.cfg.Budget.Open()
+	account.MayDrop(false, c.dropReading)
+	request, err := c.readRequestInto(account, limits)
+	if !account.Keep() && err != nil {
+		err = &RefusedError{Request: request}
+	}
+	if err != nil {
+		return nil, account, err
+	}
+	if c.reader.Buffered() == 0 && len(c.source.ahead) == 0 && probe.Look(c.netConn) == probe.Closed {
+		// The request waited here for so long that its caller has left.
+		return nil, account, io.EOF
+	}
+	_ = c.netConn.SetReadDeadline(time.Time{})
+	ctx := budget.WithAccount(context.WithValue(c.requestContext, receivedKey{}, time.Now()), account)
+	return request.WithContext(ctx), account, nil
+}
+
+// readRequestInto reads a request that has begun to arrive. It may return a request together with an error.
+func (c *conn) readRequestInto(account *budget.Account, limits Limits) (*http.Request, error) {
+	if err := c.readHead(account, limits.MaxHeaderBytes); err != nil {
 		return nil, err
 	}
 	request, err := http.ReadRequest(c.reader)
 	switch {
 	case err != nil && c.limited.N <= 0:
-		return nil, &InvalidRequestError{Status: http.StatusRequestHeaderFieldsTooLarge, Detail: "the header is too large"}
+		return nil, errHeadTooLarge
 	case isConnError(err):
 		return nil, err
 	case err != nil:
@@ -134,17 +195,10 @@
 	case request.Host == "":
 		return nil, &InvalidRequestError{Status: http.StatusBadRequest, Detail: "the request names no host"}
 	}
-	if request.ContentLength != 0 {
-		if err := c.readBody(request, limits.MaxBodyBytes); err != nil {
-			return nil, err
-		}
-	}
-	if c.reader.Buffered() == 0 && probe.Look(c.netConn) == probe.Closed {
-		// The request waited here for so long that its caller has left.
-		return nil, io.EOF
+	if request.ContentLength == 0 {
+		return request, nil
 	}
-	_ = c.netConn.SetReadDeadline(time.Time{})
-	return request.WithContext(context.WithValue(c.requestContext, receivedKey{}, time.Now())), nil
+	return request, c.readBody(request, account, limits.MaxBodyBytes)
 }
 
 // awaitRequest waits until a request begins to arrive and gives it headerTimeout to arrive in full. A request that came as the wait timed
@@ -180,10 +234,39 @@
 func (c *conn) beginReading(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.reading, c.dropping = true, false
+	c.account.Keep()
 	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
 }
 
+// setReadDeadline sets the deadline for what is read of a request, unless the request is being dropped.
+func (c *conn) setReadDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.dropping {
+		_ = c.netConn.SetReadDeadline(deadline)
+	}
+}
+
+// dropReading ends the read of a request, which is then refused.
+func (c *conn) dropReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reading {
+		c.dropping = true
+		_ = c.netConn.SetReadDeadline(time.Now())
+	}
+}
+
+// allowDrop lets the connection be closed when memory is short, if it has no request.
+func (c *conn) allowDrop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading && c.unwritten == 0 {
+		c.account.MayDrop(false, func() { c.endIfIdle() })
+	}
+}
+
 // receivedKey is the key of the time at which a request had been read, among the values of its context.
 type receivedKey struct{}
 
@@ -199,31 +282,64 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &netErr)
 }
 
-func (c *conn) readBody(request *http.Request, maxBytes int64) error {
+func (c *conn) readBody(request *http.Request, account *budget.Account, maxBytes int64) error {
 	if request.ContentLength > maxBytes {
 		return &InvalidRequestError{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"}
 	}
+	if !account.Fits(budget.Copies * request.ContentLength) {
+		return &RefusedError{Request: request}
+	}
 	if request.Header.Get("Expect") != "" {
 		if c.isIdle() {
 			_, _ = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
 		}
 		request.Header.Del("Expect")
 	}
-	c.limited.N = 2*maxBytes + readBufferBytes
-	_ = c.netConn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBytes+1))
+	c.limited.N = chunkOverheadFactor*maxBytes + readBufferBytes
+	started := time.Now()
+	c.setReadDeadline(started.Add(bodyTimeout))
+	read := int64(0)
+	body, err := budget.ReadAll(request.Body, budget.ReadConfig{
+		Expected: request.ContentLength, MaxBytes: maxBytes, Charge: account.Take,
+		OnProgress: func(total int64) {
+			account.AddProgress(total - read)
+			read = total
+			c.setReadDeadline(bodyDeadline(started, total))
+		},
+	})
+	var tooLarge *budget.TooLargeError
+	var exhausted *budget.ExhaustedError
 	switch {
+	case errors.As(err, &exhausted):
+		return &RefusedError{Request: request}
+	case errors.As(err, &tooLarge):
+		return &InvalidRequestError{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"}
 	case isConnError(err):
 		return err
 	case err != nil:
 		return &InvalidRequestError{Status: http.StatusBadRequest, Detail: "the body cannot be read"}
-	case int64(len(body)) > maxBytes:
-		return &InvalidRequestError{Status: http.StatusRequestEntityTooLarge, Detail: "the body is too large"}
 	}
-	request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	request.Body, request.ContentLength = &fullBody{Reader: bytes.NewReader(body), data: body}, int64(len(body))
 	return nil
 }
 
+// bodyDeadline returns when more of a body must have arrived: a caller that keeps to minBodyRate after bodyTimeout is never cut off.
+func bodyDeadline(started time.Time, received int64) time.Time {
+	return started.Add(bodyTimeout + time.Duration(received)*time.Second/minBodyRate)
+}
+
+// fullBody is a body that has been read.
+type fullBody struct {
+	*bytes.Reader
+	data []byte
+}
+
+// Bytes returns the whole body; it must not be changed.
+func (b *fullBody) Bytes() []byte { return b.data }
+
+// Close implements io.Closer.
+func (b *fullBody) Close() error { return nil }
+
 // isIdle reports whether no request is pending.
 func (c *conn) isIdle() bool {
 	c.mu.Lock()
@@ -263,9 +379,10 @@
 	case <-ctx.Done():
 		return
 	}
-	if c.writeResponse(w, request, c.endRequest(request)) != nil {
-		c.cancel()
-		_ = c.netConn.Close()
+	account := budget.FromContext(request.Context())
+	account.MayDrop(true, c.close)
+	if c.writeResponse(w, request, account, c.endRequest(request)) != nil {
+		c.close()
 	}
 }
 
@@ -301,25 +418,39 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unwritten--
+	c.idleSince = time.Now()
 }
 
-func (c *conn) writeResponse(w *bufferedResponse, request *http.Request, last bool) error {
+func (c *conn) writeResponse(w *bufferedResponse, request *http.Request, account *budget.Account, last bool) error {
 	response := &http.Response{
 		StatusCode: w.statusCode(), ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Request: request,
-		ContentLength: int64(w.body.Len()), Body: io.NopCloser(&w.body), Close: last,
+		ContentLength: int64(len(w.body)), Body: io.NopCloser(bytes.NewReader(w.body)), Close: last,
 	}
-	var encoded bytes.Buffer
-	if err := response.Write(&encoded); err != nil {
-		return errors.Wrap(err, "encode response")
+	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout + time.Duration(len(w.body))*time.Second/minWriteRate))
+	writer := bufio.NewWriterSize(&accountWriter{writer: c.netConn, account: account}, min(len(w.body)+readBufferBytes, maxWriteBytes))
+	err := response.Write(writer)
+	if err == nil {
+		err = writer.Flush()
 	}
-	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.netConn.Write(encoded.Bytes())
 	if last {
 		c.closeWrite()
 	}
 	return errors.Wrap(err, "write response")
 }
 
+// accountWriter records in an account what was written.
+type accountWriter struct {
+	writer  io.Writer
+	account *budget.Account
+}
+
+// Write implements io.Writer.
+func (w *accountWriter) Write(data []byte) (int, error) {
+	n, err := w.writer.Write(data)
+	w.account.AddProgress(int64(n))
+	return n, err
+}
+
 // closeWrite closes the sending side; the connection is closed once the caller has closed its side, or after lingerTimeout.
 func (c *conn) closeWrite() {
 	if sender, ok := c.netConn.(interface{ CloseWrite() error }); ok {
@@ -344,6 +475,13 @@
 	return false
 }
 
+// idleTime reports whether the connection has no request, and since when.
+func (c *conn) idleTime() (bool, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.reading && c.unwritten == 0, c.idleSince
+}
+
 // hasRequest reports whether a request is being read or its response has not been written.
 func (c *conn) hasRequest() bool {
 	c.mu.Lock()
@@ -360,7 +498,7 @@
 type bufferedResponse struct {
 	header http.Header
 	status int
-	body   bytes.Buffer
+	body   []byte
 }
 
 // Header implements http.ResponseWriter.
@@ -373,8 +511,15 @@
 	}
 }
 
-// Write implements http.ResponseWriter.
-func (r *bufferedResponse) Write(data []byte) (int, error) { return r.body.Write(data) }
+// Write implements http.ResponseWriter. A large body is kept without a copy, so a handler must not change it afterwards.
+func (r *bufferedResponse) Write(data []byte) (int, error) {
+	if len(r.body) == 0 && len(data) > maxWriteBytes {
+		r.body = data[:len(data):len(data)]
+		return len(data), nil
+	}
+	r.body = append(r.body, data...)
+	return len(data), nil
+}
 
 func (r *bufferedResponse) statusCode() int {
 	if r.status == 0 {
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -16,3 +17,11 @@
 }
 
 func (e *InvalidRequestError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Detail) }
+
+// RefusedError says that there is no memory for a request; it has not run.
+type RefusedError struct {
+	// Request is nil if its head was not read.
+	Request *http.Request
+}
+
+func (e *RefusedError) Error() string { return "there is no memory for the request" }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -9,15 +9,27 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/turmericdale/turmericdale/internal/budget"
+	"github.com/turmericdale/turmericdale/internal/probe"
 )
 
 const (
 	// maxPipelinedRequests bounds the requests of one connection that run or have a response that is not yet written.
 	maxPipelinedRequests = 32
-	// bodyTimeout bounds the time to read a request's body.
+	// bodyTimeout bounds the time to read a request's body; a caller that sends minBodyRate bytes a second gets the time that it needs.
 	bodyTimeout = 30 * time.Second
-	// writeTimeout bounds the time to write a response to a caller that does not read it.
-	writeTimeout    = 10 * time.Second
+	minBodyRate = 16 << 10
+	// chunkOverheadFactor is the most that the encoding in chunks takes for each byte: six bytes in chunks of one byte.
+	chunkOverheadFactor = 8
+	// writeTimeout bounds the time to write a response to a caller that does not read it; one that reads minWriteRate bytes a second gets
+	// the time that it needs.
+	writeTimeout  = 10 * time.Second
+	minWriteRate  = 64 << 10
+	maxWriteBytes = 64 << 10
+	// minAcceptDelay and maxAcceptDelay bound the pause after the process had no descriptor for a connection.
+	minAcceptDelay  = 5 * time.Millisecond
+	maxAcceptDelay  = 200 * time.Millisecond
 	readBufferBytes = 4 << 10
 	// emptyBacklogWait is how long Accept waits at a time while the listener is being closed, and maxEmptyWaits after how many waits in
 	// a row without a connection it is closed. A wait may be over before Accept has looked whether a connection waits.
@@ -43,6 +55,13 @@
 	RefusalHandler http.Handler
 	// Limits returns the limits in force.
 	Limits func() Limits
+	// OverloadHandler handles requests for which there is no memory, as the last one of their connection; the default responds with status 503.
+	OverloadHandler http.Handler
+	// Budget is the memory for callers; nil means that it is not limited.
+	Budget *budget.Budget
+	// MaxConnections is the number of connections from which the one that has been idle for longest is closed for a new one; zero means that it
+	// is not limited.
+	MaxConnections int
 	// OnInvalidRequest is called for each connection that ends with an invalid request.
 	OnInvalidRequest func()
 	// OnPanic is called with the value and the stack of a panic in a handler; the request gets status 502, as it may have run.
@@ -54,6 +73,12 @@
 
 // Server accepts and serves connections of callers.
 type Server struct {
+	// ClosedIdle counts idle connections that were closed for new ones, RefusedConnections those that were closed at once, and AcceptFailures
+	// the times that the process had no descriptor for a connection.
+	ClosedIdle         atomic.Int64
+	RefusedConnections atomic.Int64
+	AcceptFailures     atomic.Int64
+
 	cfg                Config
 	keepAlivesDisabled atomic.Bool
 	// refusing means that RefusalHandler handles further requests.
@@ -66,6 +91,8 @@
 
 	mu    sync.Mutex
 	conns map[*conn]bool
+	// closedForNew is the number of connections that were closed for new ones and have not ended yet.
+	closedForNew int
 }
 
 // New returns a server that accepts connections once Serve is called.
@@ -73,6 +100,9 @@
 	if cfg.RefusalHandler == nil {
 		cfg.RefusalHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	}
+	if cfg.OverloadHandler == nil {
+		cfg.OverloadHandler = cfg.RefusalHandler
+	}
 	if cfg.OnInvalidRequest == nil {
 		cfg.OnInvalidRequest = func() {}
 	}
@@ -94,7 +124,7 @@
 // Serve accepts connections until the listener is closed; it must be called once.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	defer close(s.serveEnded)
-	emptyWaits := 0
+	emptyWaits, delay := 0, time.Duration(0)
 	for {
 		accepted, err := listener.Accept()
 		var netErr net.Error
@@ -112,14 +142,61 @@
 				_ = waker.SetDeadline(time.Now().Add(emptyBacklogWait))
 			}
 			continue
+		case probe.IsShortage(err):
+			s.AcceptFailures.Add(1)
+			s.mu.Lock()
+			s.closeIdleForNew()
+			s.mu.Unlock()
+			delay = min(max(2*delay, minAcceptDelay), maxAcceptDelay)
+			time.Sleep(delay)
+			continue
 		case err != nil:
 			return errors.Wrap(err, "accept connection of a caller")
 		}
-		emptyWaits = 0
+		emptyWaits, delay = 0, 0
 		s.wait.Go(func() { s.serveConn(ctx, accepted) })
 	}
 }
 
+// closeIdleForNew closes the connection that has had no request for longest; it reports whether there is one. The mutex must be locked.
+func (s *Server) closeIdleForNew() bool {
+	var idlest *conn
+	var since time.Time
+	for c := range s.conns {
+		if idle, at := c.idleTime(); idle && !c.closedForNew && (idlest == nil || at.Before(since)) {
+			idlest, since = c, at
+		}
+	}
+	if idlest == nil {
+		return false
+	}
+	s.ClosedIdle.Add(1)
+	idlest.closedForNew = true
+	s.closedForNew++
+	idlest.endIfIdle()
+	return true
+}
+
+// addConn adds a connection unless there are too many that are not idle; it reports whether it has.
+func (s *Server) addConn(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.MaxConnections > 0 && len(s.conns)-s.closedForNew >= s.cfg.MaxConnections && !s.closeIdleForNew() {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Server) removeConn(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if c.closedForNew {
+		s.closedForNew--
+	}
+}
+
 // StopAccepting closes the listener that Serve accepts from. Connections that wait there are accepted before, since closing the listener
 // resets them.
 func (s *Server) StopAccepting(listener net.Listener) {
@@ -144,13 +221,15 @@
 	defer cancelRequests()
 	c := newConn(s, accepted, cancel)
 	c.requestContext, c.cancelRequests = requestContext, cancelRequests
-	s.mu.Lock()
-	s.conns[c] = true
-	s.mu.Unlock()
+	c.account = s.cfg.Budget.Open()
+	defer c.account.Close()
+	if !c.account.Take(budget.ConnectionBytes) || !s.addConn(c) {
+		s.RefusedConnections.Add(1)
+		_ = accepted.Close()
+		return
+	}
+	defer s.removeConn(c)
 	c.run(ctx)
-	s.mu.Lock()
-	delete(s.conns, c)
-	s.mu.Unlock()
 }
 
 // DisableKeepAlives ends each connection after the response that leaves no request pending; idle ones may still be used once
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/turmericdale/turmericdale/internal/admit"
+	"github.com/turmericdale/turmericdale/internal/budget"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
@@ -39,9 +40,6 @@
 const (
 	// maxBodyBytesBeingRead bounds the bodies that a node reads from its upstreams at the same time.
 	maxBodyBytesBeingRead = 32 << 20
-	// maxInitialBodyBytes is the most memory that a body gets before its bytes have arrived.
-	maxInitialBodyBytes = 128 << 10
-	bodyStepBytes       = 64 << 10
 )
 
 // crashInterval is the time within which all calls that fail because their upstream crashed count as one failure.
@@ -233,26 +231,35 @@
 	}
 }
 
-// readBody reads a body in steps that grow with what has arrived, whatever length the response claims to have.
-func readBody(response *http.Response, maxBytes int64, bodies *bodyBudget) ([]byte, error) {
+// readBody reads a body into memory that grows with what has arrived, whatever length the response claims to have. The memory is charged to
+// the account of the call, which waits if there is none, and while the body is being read to that of all bodies.
+func readBody(ctx context.Context, response *http.Response, maxBytes int64, bodies *bodyBudget) ([]byte, error) {
 	if response.ContentLength > maxBytes {
 		return nil, &ResponseTooLargeError{Limit: maxBytes}
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, min(max(response.ContentLength, 0), maxInitialBodyBytes)+bytes.MinRead))
-	defer func() { bodies.release(int64(buffer.Len())) }()
-	for {
-		part, err := io.CopyN(buffer, response.Body, bodyStepBytes)
-		switch {
-		case !bodies.take(part):
-			return nil, &ResponseTooLargeError{Limit: maxBodyBytesBeingRead}
-		case int64(buffer.Len()) > maxBytes:
-			return nil, &ResponseTooLargeError{Limit: maxBytes}
-		case errors.Is(err, io.EOF):
-			return buffer.Bytes(), nil
-		case err != nil:
-			return nil, &IncompleteResponseError{Cause: err}
-		}
+	account, read, fits := budget.FromContext(ctx), int64(0), true
+	defer func() { bodies.release(read) }()
+	body, err := budget.ReadAll(response.Body, budget.ReadConfig{
+		Expected: response.ContentLength, MaxBytes: maxBytes,
+		Charge: func(added int64) bool { return fits && account.Await(ctx, added) },
+		OnProgress: func(total int64) {
+			fits = bodies.take(total-read) && fits
+			read = total
+		},
+	})
+	var tooLarge *budget.TooLargeError
+	var exhausted *budget.ExhaustedError
+	switch {
+	case !fits:
+		return nil, &ResponseTooLargeError{Limit: maxBodyBytesBeingRead}
+	case errors.As(err, &tooLarge):
+		return nil, &ResponseTooLargeError{Limit: maxBytes}
+	case errors.As(err, &exhausted):
+		return nil, err
+	case err != nil:
+		return nil, &IncompleteResponseError{Cause: err}
 	}
+	return body, nil
 }
 
 // bodyBudget bounds the bytes of all bodies that are being read at the same time, so that upstreams which send without end do
--- a/internal/local/conn.go
+++ b/internal/local/conn.go
@@ -186,7 +186,7 @@
 		}
 		// Chunks of a byte each take several times the size of the body.
 		c.limited.N = chunkOverheadFactor*limits.maxBodyBytes + maxHeadBytes
-		body, err := readBody(response, limits.maxBodyBytes, limits.bodies)
+		body, err := readBody(request.Context(), response, limits.maxBodyBytes, limits.bodies)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -43,7 +43,7 @@
 		func() *logs.Sink { return sink },
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
-		newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newDepartures, newLocalRegistry, newHub,
+		newBudget, newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newDepartures, newLocalRegistry, newHub,
 		newPicker, newEgress, newClaims, newImporter, newProxy, newStatusSource, newAdmin, newNode,
 	}
 	for _, c := range constructors {
@@ -226,7 +226,7 @@
 		serving:  make(chan struct{}),
 		settings: deps.Settings, logger: deps.Logger, now: deps.Now, store: deps.Store, log: deps.Log, members: deps.Members,
 		verdicts: deps.Verdicts, pool: deps.Pool, moveController: deps.MoveController, localRegistry: deps.LocalRegistry, hub: deps.Hub, picker: deps.Picker, egress: deps.Egress,
-		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
+		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics, budget: deps.Budget,
 	}
 	deps.Status.node = n
 	deps.Metrics.RegisterCounter("log_lines_dropped_total", "Log lines for which there was no room.", nil, func() float64 { return float64(deps.Sink.Dropped.Load()) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/turmericdale/turmericdale/internal/admin"
+	"github.com/turmericdale/turmericdale/internal/budget"
 	"github.com/turmericdale/turmericdale/internal/claim"
 	"github.com/turmericdale/turmericdale/internal/conf"
 	"github.com/turmericdale/turmericdale/internal/depart"
@@ -72,6 +73,7 @@
 	Proxy          *route.Proxy
 	Admin          *admin.Server
 	Metrics        *meter.Metrics
+	Budget         *budget.Budget
 	Status         *statusSource
 }
 
@@ -96,6 +98,7 @@
 	proxy          *route.Proxy
 	admin          *admin.Server
 	metrics        *meter.Metrics
+	budget         *budget.Budget
 
 	stopping atomic.Bool
 	// serving is closed when the node starts to accept callers.
@@ -130,7 +133,7 @@
 		return err
 	}
 	n.peerServer = peer.NewServer(peer.ServerConfig{
-		Listener: peerListener, MaxHeadBytes: n.settings.MaxBodyBytes + headReserveBytes,
+		Listener: peerListener, MaxHeadBytes: n.settings.MaxBodyBytes + headReserveBytes, Budget: n.budget,
 		OnPanic: n.logPanic, ServeCall: n.serveCall, ServeLink: n.hub.ServeLink, HandleEvidence: n.handleEvidence, HandleInvitation: n.hub.HandleInvitation,
 	})
 	return nil
@@ -237,8 +240,10 @@
 func (n *Node) startCallerServer(group *errgroup.Group, ctx context.Context) {
 	n.callerServer = front.New(front.Config{
 		Handler: n.proxy, RefusalHandler: http.HandlerFunc(n.proxy.RefuseWhileStopping), Limits: n.callerLimits,
+		OverloadHandler: http.HandlerFunc(n.proxy.RefuseForMemory), Budget: n.budget, MaxConnections: maxCallerConnections(n.settings.MaxDescriptors),
 		OnInvalidRequest: func() { n.metrics.CountInvalidInput("caller") }, OnPanic: n.logPanic,
 	})
+	n.registerCallerMetrics()
 	group.Go(func() error {
 		n.awaitConfiguration(ctx)
 		close(n.serving)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,20 +13,26 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
+	"github.com/turmericdale/turmericdale/internal/budget"
 	"github.com/turmericdale/turmericdale/internal/frame"
+	"github.com/turmericdale/turmericdale/internal/probe"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
 const (
 	headTimeout = 5 * time.Second
 	maxSessions = 4096
+	// acceptDelay is the pause after the process had no descriptor for a connection.
+	acceptDelay = 50 * time.Millisecond
 )
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Listener net.Listener
 	// MaxHeadBytes limits the message that starts a stream or a call, including the call's body.
-	MaxHeadBytes     int64
+	MaxHeadBytes int64
+	// Budget is the memory for callers, to which calls from other nodes are charged; nil means that it is not limited.
+	Budget           *budget.Budget
 	ServeCall        func(ctx context.Context, conn net.Conn, head *wirepb.CallHead)
 	ServeLink        func(ctx context.Context, conn net.Conn, reader *bufio.Reader, hello *wirepb.LinkHello)
 	HandleEvidence   func(conn net.Conn, report *wirepb.EvidenceReport)
@@ -62,6 +68,10 @@
 			return nil
 		}
 		if err != nil {
+			if probe.IsShortage(err) {
+				time.Sleep(acceptDelay)
+				continue
+			}
 			return errors.Wrap(err, "accept session of a node")
 		}
 		s.tasks.Go(func() { s.serveSession(ctx, conn) })
@@ -110,18 +120,24 @@
 	defer func() { _ = stream.Close() }()
 	defer s.recoverPanic()
 	reader := bufio.NewReader(stream)
-	head := &wirepb.StreamHead{}
 	_ = stream.SetReadDeadline(time.Now().Add(headTimeout))
-	if err := frame.Read(reader, head, s.cfg.MaxHeadBytes); err != nil {
+	received, err := s.readHead(reader)
+	if err != nil {
 		s.Rejected.Add(1)
 		return
 	}
 	_ = stream.SetReadDeadline(time.Time{})
-	switch kind := head.GetKind().(type) {
+	if received.refusedID != "" {
+		s.serveCalls(ctx, stream, reader, received)
+		return
+	}
+	switch kind := received.head.GetKind().(type) {
 	case *wirepb.StreamHead_Call:
-		if !hasEnded(stream, reader) {
-			s.serveCalls(ctx, stream, reader, kind.Call)
+		if hasEnded(stream, reader) {
+			received.account.Close()
+			return
 		}
+		s.serveCalls(ctx, stream, reader, received)
 	case *wirepb.StreamHead_Link:
 		s.cfg.ServeLink(ctx, stream, reader, kind.Link)
 	case *wirepb.StreamHead_Evidence:
@@ -146,37 +162,54 @@
 
 // serveCalls serves the calls of a stream one after the other. It reads the next head while a call runs, so that the
 // end of the stream cancels the call.
-func (s *Server) serveCalls(ctx context.Context, stream *muxStream, reader *bufio.Reader, first *wirepb.CallHead) {
+func (s *Server) serveCalls(ctx context.Context, stream *muxStream, reader *bufio.Reader, first *receivedHead) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	next := make(chan *wirepb.CallHead)
+	next := make(chan *receivedHead)
 	s.tasks.Go(func() {
 		defer close(next)
 		defer cancel()
 		s.readCalls(ctx, stream, reader, next)
 	})
-	for call, more := first, true; more; call, more = <-next {
-		s.cfg.ServeCall(ctx, stream, call)
+	for received, more := first, true; more; received, more = <-next {
+		s.serveCall(ctx, stream, received)
 	}
 	_ = stream.Close()
 }
 
-func (s *Server) readCalls(ctx context.Context, stream *muxStream, reader *bufio.Reader, next chan<- *wirepb.CallHead) {
+// serveCall runs a call, or refuses one for which there is no memory.
+func (s *Server) serveCall(ctx context.Context, stream *muxStream, received *receivedHead) {
+	defer received.account.Close()
+	if received.refusedID != "" {
+		_ = stream.SetWriteDeadline(time.Now().Add(headTimeout))
+		_ = frame.Write(stream, &wirepb.AnswerHead{
+			CallId: received.refusedID, Outcome: wirepb.Outcome_OUTCOME_NOT_RUN, Refusal: wirepb.Refusal_REFUSAL_OVERLOADED,
+			Detail: "the node has no memory for the call",
+		})
+		return
+	}
+	s.cfg.ServeCall(budget.WithAccount(ctx, received.account), stream, received.head.GetCall())
+}
+
+func (s *Server) readCalls(ctx context.Context, stream *muxStream, reader *bufio.Reader, next chan<- *receivedHead) {
 	for {
-		head := &wirepb.StreamHead{}
-		if err := frame.Read(reader, head, s.cfg.MaxHeadBytes); err != nil {
+		received, err := s.readHead(reader)
+		if err != nil {
 			return
 		}
-		if head.GetCall() == nil {
+		if received.refusedID == "" && received.head.GetCall() == nil {
+			received.account.Close()
 			s.Rejected.Add(1)
 			return
 		}
 		if hasEnded(stream, reader) {
+			received.account.Close()
 			return
 		}
 		select {
-		case next <- head.GetCall():
+		case next <- received:
 		case <-ctx.Done():
+			received.account.Close()
 			return
 		}
 	}
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -287,6 +287,9 @@
 		}
 		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, readError(ctx, err)), err
 	}
+	if err := awaitMemory(ctx, stream.Reader); err != nil {
+		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, readError(ctx, err)), err
+	}
 	answer := &wirepb.AnswerHead{}
 	if err := frame.Read(stream.Reader, answer, p.cfg.MaxBodyBytes+frameOverheadBytes); err != nil {
 		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, readError(ctx, err)), err
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -296,6 +296,9 @@
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
+	if body, found := wholeBody(r); found && int64(len(body)) <= p.cfg.MaxBodyBytes {
+		return body, nil
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.cfg.MaxBodyBytes))
--- a/pkg/cmd/node/run/reload.go
+++ b/pkg/cmd/node/run/reload.go
@@ -78,8 +78,8 @@
 // applyRuntimeLimits applies the settings that can change without a restart.
 func applyRuntimeLimits(settings *conf.Settings) {
 	runtime.GOMAXPROCS(settings.Processors)
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(settings.MemoryBytes)
+	if limit := settings.SoftMemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 }
 
--- a/test/proof/crowd_test.go
+++ b/test/proof/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -222,6 +223,54 @@
 	}
 }
 
+// Guards against limits that refuse callers inside them for good, and against uploads that take a process over its memory: eight of the largest
+// size at once, of callers that repeat what was refused, on VMs of the smallest size in use.
+func TestLargestBodiesAreServedWithinMemory(t *testing.T) {
+	const memoryBytes, bodyBytes = 184_000_000, 16 << 20
+	d := newDeployment(t)
+	d.addSettings(fmt.Sprintf(`"memory_limit_bytes": %d, "max_body_bytes": %d,`, memoryBytes, bodyBytes))
+	d.serve(d.platformAddress, d.platform.Handler())
+	d.startAll(func(emul.VM) emul.UpstreamConfig { return emul.UpstreamConfig{} })
+	body := bytes.Repeat([]byte("x"), bodyBytes)
+	var wait sync.WaitGroup
+	for i := range 8 {
+		wait.Go(func() {
+			if !uploadUntilServed(d.vms[0], strconv.Itoa(i), body) {
+				t.Errorf("upload %d was not served", i)
+			}
+		})
+	}
+	require.True(t, d.isAnswered(d.vms[0], startTimeout), "an ordinary request is answered beside the uploads")
+	wait.Wait()
+	for _, v := range d.vms {
+		t.Logf("%s: peak memory %d MiB of %d", v.Node, d.peakMemory(v)>>20, memoryBytes>>20)
+		require.NotNil(t, d.status(v), "the process of %s goes on", v.Node)
+		require.LessOrEqual(t, d.peakMemory(v), memoryBytes, "peak memory of %s", v.Node)
+	}
+}
+
+// uploadUntilServed repeats a request until it is served in full.
+func uploadUntilServed(v emul.VM, id string, body []byte) bool {
+	for end := time.Now().Add(2 * startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		request, err := http.NewRequest(http.MethodPost, "http://"+v.CallerAddress().String()+"/shop", bytes.NewReader(body))
+		if err != nil {
+			return false
+		}
+		request.Header.Set(emul.HeaderRequestID, id)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue
+		}
+		var served emul.ResponseBody
+		err = json.NewDecoder(response.Body).Decode(&served)
+		_ = response.Body.Close()
+		if err == nil && response.StatusCode == http.StatusOK {
+			return served.Digest == emul.Digest(id, body)
+		}
+	}
+	return false
+}
+
 // addSettings adds fields to the settings of all nodes.
 func (d *deployment) addSettings(fields string) {
 	d.t.Helper()
