--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/turmericdale/turmericdale/internal/ahead"
 	"github.com/turmericdale/turmericdale/internal/budget"
 	"github.com/turmericdale/turmericdale/internal/probe"
 )
@@ -28,8 +29,9 @@
 	requestContext context.Context
 	cancelRequests context.CancelFunc
 	limited        *io.LimitedReader
-	source         *source
-	reader         *bufio.Reader
+	reader         *ahead.Reader
+	// receiving is the account of the request that is being read, or nil.
+	receiving *budget.Account
 	// account holds what the connection takes besides its requests.
 	account *budget.Account
 	// closedForNew means that the connection was closed for a new one. The mutex of the server guards it.
@@ -54,10 +56,9 @@
 
 func newConn(s *Server, accepted net.Conn, cancel context.CancelFunc) *conn {
 	limited := &io.LimitedReader{R: accepted}
-	source := &source{limited: limited}
 	return &conn{
-		server: s, netConn: accepted, cancel: cancel, limited: limited, source: source, idleSince: time.Now(),
-		reader: bufio.NewReaderSize(source, readBufferBytes), slots: make(chan struct{}, maxPipelinedRequests),
+		server: s, netConn: accepted, cancel: cancel, limited: limited, idleSince: time.Now(),
+		reader: ahead.NewReader(limited, readBufferBytes), slots: make(chan struct{}, maxPipelinedRequests),
 	}
 }
 
@@ -162,29 +163,30 @@
 		return nil, nil, err
 	}
 	account := c.server.cfg.Budget.Open()
-	account.MayDrop(false, c.dropReading)
+	c.setReceiving(account)
+	account.MayDrop(false, func() { c.dropRequest(account) })
 	request, err := c.readRequestInto(account, limits)
+	c.endReceiving(err == nil)
 	if !account.Keep() && err != nil {
 		err = &RefusedError{Request: request}
 	}
 	if err != nil {
 		return nil, account, err
 	}
-	if c.reader.Buffered() == 0 && len(c.source.ahead) == 0 && probe.Look(c.netConn) == probe.Closed {
+	if c.reader.Buffered() == 0 && probe.Look(c.netConn) == probe.Closed {
 		// The request waited here for so long that its caller has left.
 		return nil, account, io.EOF
 	}
-	_ = c.netConn.SetReadDeadline(time.Time{})
 	ctx := budget.WithAccount(context.WithValue(c.requestContext, receivedKey{}, time.Now()), account)
 	return request.WithContext(ctx), account, nil
 }
 
 // readRequestInto reads a request that has begun to arrive. It may return a request together with an error.
 func (c *conn) readRequestInto(account *budget.Account, limits Limits) (*http.Request, error) {
-	if err := c.readHead(account, limits.MaxHeaderBytes); err != nil {
+	if err := c.awaitHead(account, limits.MaxHeaderBytes); err != nil {
 		return nil, err
 	}
-	request, err := http.ReadRequest(c.reader)
+	request, err := http.ReadRequest(c.reader.Reader)
 	switch {
 	case err != nil && c.limited.N <= 0:
 		return nil, errHeadTooLarge
@@ -234,7 +236,7 @@
 func (c *conn) beginReading(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading, c.dropping = true, false
+	c.reading = true
 	c.account.Keep()
 	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
 }
@@ -248,11 +250,28 @@
 	}
 }
 
-// dropReading ends the read of a request, which is then refused.
-func (c *conn) dropReading() {
+// setReceiving records that the request of an account is being read.
+func (c *conn) setReceiving(account *budget.Account) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving, c.dropping = account, false
+}
+
+// endReceiving records that no request is being read any more; after a whole one, its handler has all the time that it needs.
+func (c *conn) endReceiving(whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = nil
+	if whole {
+		_ = c.netConn.SetReadDeadline(time.Time{})
+	}
+}
+
+// dropRequest ends the read of a request, which is then refused, unless it has been read meanwhile.
+func (c *conn) dropRequest(account *budget.Account) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading {
+	if c.receiving == account {
 		c.dropping = true
 		_ = c.netConn.SetReadDeadline(time.Now())
 	}
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -196,33 +196,3 @@
 	s.CloseConnections()
 	require.NoError(t, <-served)
 }
-
-func TestScanHead(t *testing.T) {
-	tests := []struct {
-		data  string
-		size  int
-		lines int
-	}{
-		{"GET / HTTP/1.1\r\nHost: a\r\n\r\nrest", 25, 2},
-		{"GET / HTTP/1.1\nHost: a\n\nrest", 23, 2},
-		{"GET / HTTP/1.1\r\nHost: a\n\r\n", 24, 2},
-		{"GET / HTTP/1.1\r\nA: b\r\n c\r\n\td\r\n\r\n", 30, 4},
-		{"GET / HTTP/1.1\r\nHost: a\r\n\r", 0, 0},
-		{"GET / HTTP/1.1\r\nHost: a\r\n", 0, 0},
-		{"GET / HTTP/1.1", 0, 0},
-		{"", 0, 0},
-		{"\r\nGET", 1, 1},
-	}
-	for _, tt := range tests {
-		size, lines := scanHead([]byte(tt.data), 0)
-		require.Equal(t, tt.size, size, "%q", tt.data)
-		require.Equal(t, tt.lines, lines, "%q", tt.data)
-		for scanned := range tt.data {
-			if partial, _ := scanHead([]byte(tt.data[:scanned]), 0); partial == 0 {
-				size, lines = scanHead([]byte(tt.data), scanned)
-				require.Equal(t, tt.size, size, "%q from %d", tt.data, scanned)
-				require.Equal(t, tt.lines, lines, "%q from %d", tt.data, scanned)
-			}
-		}
-	}
-}
--- a/internal/local/conn.go
+++ b/internal/local/conn.go
@@ -1,7 +1,6 @@
 package local
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -12,6 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/turmericdale/turmericdale/internal/ahead"
 	"github.com/turmericdale/turmericdale/internal/probe"
 )
 
@@ -46,7 +48,7 @@
 type conn struct {
 	net.Conn
 	limited *io.LimitedReader
-	reader  *bufio.Reader
+	reader  *ahead.Reader
 	// expires is when the connection may no longer be reused.
 	expires time.Time
 	reused  bool
@@ -77,7 +79,7 @@
 		return nil, err
 	}
 	limited := &io.LimitedReader{R: dialled}
-	return &conn{Conn: dialled, limited: limited, reader: bufio.NewReaderSize(limited, connBufferBytes)}, nil
+	return &conn{Conn: dialled, limited: limited, reader: ahead.NewReader(limited, connBufferBytes)}, nil
 }
 
 func (c *connPool) popIdle() *conn {
@@ -203,11 +205,22 @@
 	return nil, &IncompleteResponseError{Cause: io.ErrUnexpectedEOF, Reused: c.reused}
 }
 
+// readHead reads the head of a response, an interim one included. It returns *MalformedResponseError for bytes that are none.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.limited.N = maxHeadBytes
-	response, err := http.ReadResponse(c.reader, request)
+	head, err := c.reader.PeekHead(ahead.HeadConfig{MaxBytes: maxHeadBytes})
+	if err == nil {
+		if malformed := checkHead(head); malformed != nil {
+			return nil, malformed
+		}
+	}
+	var response *http.Response
+	if err == nil {
+		response, err = http.ReadResponse(c.reader.Reader, request)
+	}
+	var tooLarge *ahead.HeadTooLargeError
 	switch {
-	case err != nil && c.limited.N <= 0:
+	case errors.As(err, &tooLarge), err != nil && c.limited.N <= 0:
 		return nil, &EndlessHeadError{Limit: maxHeadBytes}
 	case err != nil:
 		return nil, &IncompleteResponseError{Cause: err, Reused: c.reused}
--- a/internal/local/errors.go
+++ b/internal/local/errors.go
@@ -34,6 +34,16 @@
 	return fmt.Sprintf("response head exceeds %d bytes", e.Limit)
 }
 
+// maxStatusLineShown bounds the part of a malformed status line that is logged.
+const maxStatusLineShown = 64
+
+// MalformedResponseError says that what an upstream sent is no response of the protocol, so that it is not known whether the call has run.
+type MalformedResponseError struct {
+	Detail string
+}
+
+func (e *MalformedResponseError) Error() string { return "malformed response: " + e.Detail }
+
 // NoResponseError says that an upstream sent no complete response within the time left for a call.
 type NoResponseError struct {
 	TimeLeft time.Duration
