--- a/internal/budget/read.go
+++ b/internal/budget/read.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// firstReadBytes is the most memory that a body gets before its bytes have arrived.
-	firstReadBytes = 32 << 10
+	// firstReadBytes is the memory that a body of unknown size gets before its bytes have arrived, and firstKnownBytes the most that one of known size gets.
+	firstReadBytes  = 4 << 10
+	firstKnownBytes = 64 << 10
 	// Copies is the number of times that a body is in memory at once: while it is being copied into a larger buffer or encoded for another node.
 	Copies = 2
 )
@@ -57,11 +58,11 @@
 
 // nextSize doubles a size. It ends one byte above the expected or greatest size, which shows that the body has ended or is too large.
 func nextSize(size int64, cfg ReadConfig) int64 {
-	end := cfg.MaxBytes + 1
+	first, end := int64(firstReadBytes), cfg.MaxBytes+1
 	if cfg.Expected >= 0 && size <= cfg.Expected {
-		end = min(end, cfg.Expected+1)
+		first, end = firstKnownBytes, min(end, cfg.Expected+1)
 	}
-	return min(max(2*size, firstReadBytes), end)
+	return min(max(2*size, first), end)
 }
 
 type contextKey struct{}
--- a/internal/budget/size.go
+++ b/internal/budget/size.go
@@ -9,10 +9,10 @@
 	lineBytes = 512
 	// textCopies is the number of times that the text of a head is in memory at once.
 	textCopies = 4
-	// encodedHeadBytes is the part of an encoded call that may be header lines, and encodedHeadFactor what they hold for each byte: a line
-	// of four bytes takes 14 encoded and about 300 decoded.
-	encodedHeadBytes  = 64 << 10
-	encodedHeadFactor = 24
+	// maxEncodedHeadBytes is the most of an encoded call or answer that may be header lines, and encodedHeadFactor what they hold for each byte: a
+	// line of four bytes takes 14 encoded and about 300 decoded.
+	maxEncodedHeadBytes = 64 << 10
+	encodedHeadFactor   = 24
 )
 
 // HeadBytes returns what a request with a head of some size and number of lines holds, without its body.
@@ -20,9 +20,11 @@
 	return requestBytes + textCopies*int64(size) + lineBytes*int64(lines)
 }
 
-// MessageBytes returns what an encoded call or answer of some size holds while it is decoded and used.
-func MessageBytes(size int64) int64 {
-	return requestBytes + Copies*size + encodedHeadFactor*min(size, encodedHeadBytes)
+// MessageBytes returns what an encoded call or answer of some size holds while it is decoded and used. Its largest field, usually the body, is not
+// decoded further.
+func MessageBytes(size, largestField int64) int64 {
+	rest := max(size-largestField, 0)
+	return requestBytes + Copies*size + encodedHeadFactor*min(rest, maxEncodedHeadBytes)
 }
 
 const (
@@ -44,7 +46,7 @@
 // must fit beside the part for small accounts, whatever the limit is.
 func Sizes(softLimit, maxBodyBytes int64) (size, reserve int64) {
 	available := int64((1 - garbageFraction) * float64(softLimit-controlBytes))
-	largest := MessageBytes(maxBodyBytes)
+	largest := MessageBytes(maxBodyBytes+maxEncodedHeadBytes, maxBodyBytes)
 	smallest := largest*smallDivisor/(smallDivisor-1) + minBytes
 	return max(available-largest, smallest), largest
 }
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -81,30 +82,72 @@
 	return &ReadError{Message: messageName(message), Cause: err}
 }
 
-// NextSize returns the size of the next message without reading it; it returns io.EOF if the stream ends between messages, or *ReadError.
-func NextSize(r *bufio.Reader) (int64, error) {
+// Next is what is known of a message before it is read.
+type Next struct {
+	// Size is the size of the message, and PrefixBytes that of the size before it.
+	Size        int64
+	PrefixBytes int64
+	// Start is the message, or as much of it as the reader's buffer holds. It is valid until the next read.
+	Start []byte
+}
+
+// PeekNext waits for the start of the next message, of at most limit bytes, without reading it; it returns io.EOF if the stream ends between
+// messages, or *ReadError.
+func PeekNext(r *bufio.Reader, limit int64) (Next, error) {
 	for n := 1; ; n++ {
 		prefix, err := r.Peek(n)
 		switch {
 		case err != nil && n == 1 && errors.Is(err, io.EOF):
-			return 0, err
+			return Next{}, err
 		case err != nil:
-			return 0, &ReadError{Message: "size", Cause: err}
+			return Next{}, &ReadError{Message: "size", Cause: err}
+		case prefix[n-1] >= 1<<7 && n < binary.MaxVarintLen64:
+			continue
+		}
+		size, width := binary.Uvarint(prefix)
+		if width <= 0 || size > uint64(limit) {
+			return Next{}, &ReadError{Message: "size", Cause: &SizeError{}}
 		}
-		if prefix[n-1] < 1<<7 || n == binary.MaxVarintLen64 {
-			size, width := binary.Uvarint(prefix)
-			if width <= 0 || size > math.MaxInt64 {
-				return 0, &ReadError{Message: "size", Cause: &SizeError{}}
+		start, err := r.Peek(int(min(int64(width)+int64(size), int64(r.Size()))))
+		if err != nil {
+			return Next{}, &ReadError{Message: "start", Cause: err}
+		}
+		return Next{Size: int64(size), PrefixBytes: int64(width), Start: start[width:]}, nil
+	}
+}
+
+// LargestField returns the size of the largest field with bytes that a message starts with, which is the body of a call or an answer with a large one.
+// The rest of the message is headers and other small fields.
+func LargestField(start []byte) int64 {
+	largest := int64(0)
+	for len(start) > 0 {
+		_, kind, tagBytes := protowire.ConsumeTag(start)
+		if tagBytes < 0 {
+			break
+		}
+		start = start[tagBytes:]
+		if kind == protowire.BytesType {
+			size, sizeBytes := protowire.ConsumeVarint(start)
+			if sizeBytes < 0 || size > math.MaxInt64 {
+				break
 			}
-			return int64(size), nil
+			largest = max(largest, int64(size))
+			start = start[min(int64(sizeBytes)+int64(size), int64(len(start))):]
+			continue
+		}
+		valueBytes := protowire.ConsumeFieldValue(1, kind, start)
+		if valueBytes < 0 {
+			break
 		}
+		start = start[valueBytes:]
 	}
+	return largest
 }
 
-// SizeError says that the size of a message is not valid.
+// SizeError says that the size of a message is not a number or exceeds the limit.
 type SizeError struct{}
 
-func (e *SizeError) Error() string { return "invalid size" }
+func (e *SizeError) Error() string { return "the size is invalid or too large" }
 
 func messageName(message proto.Message) string {
 	return string(message.ProtoReflect().Descriptor().Name())
--- a/internal/peer/head.go
+++ b/internal/peer/head.go
@@ -10,9 +10,8 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
+// The fields of a call's message.
 const (
-	// maxCallIDBytes is the part of a call's message in which its id is looked for.
-	maxCallIDBytes = 1 << 10
 	// callField and callIDField are the numbers of StreamHead.call and CallHead.call_id.
 	callField   protowire.Number = 1
 	callIDField protowire.Number = 1
@@ -29,23 +28,15 @@
 // readHead reads a message. If it is a call, it is charged before it is read; other messages belong to the control path, which has memory of its own.
 func (s *Server) readHead(reader *bufio.Reader) (*receivedHead, error) {
 	received := &receivedHead{head: &wirepb.StreamHead{}}
-	size, err := frame.NextSize(reader)
+	next, err := frame.PeekNext(reader, s.cfg.MaxHeadBytes)
 	if err != nil {
 		return nil, err
 	}
-	if size > s.cfg.MaxHeadBytes {
-		return nil, &frame.ReadError{Message: "StreamHead", Cause: &frame.SizeError{}}
-	}
-	width := int64(protowire.SizeVarint(uint64(size)))
-	prefix, err := reader.Peek(int(min(width+size, maxCallIDBytes)))
-	if err != nil {
-		return nil, &frame.ReadError{Message: "StreamHead", Cause: err}
-	}
-	if id, isCall := parseCallID(prefix[width:]); isCall {
+	if call := startOfCall(next.Start); call != nil {
 		received.account = s.cfg.Budget.Open()
-		if !received.account.Take(budget.MessageBytes(size)) {
-			received.refusedID = id
-			if _, err := reader.Discard(int(width + size)); err != nil || id == "" {
+		if !received.account.Take(budget.MessageBytes(next.Size, frame.LargestField(call))) {
+			received.refusedID = parseCallID(call)
+			if _, err := reader.Discard(int(next.PrefixBytes + next.Size)); err != nil || received.refusedID == "" {
 				received.account.Close()
 				return nil, &frame.ReadError{Message: "StreamHead", Cause: err}
 			}
@@ -59,24 +50,28 @@
 	return received, nil
 }
 
-// parseCallID returns the id of a call from the first bytes of its message, and whether the message is a call.
-func parseCallID(message []byte) (id string, isCall bool) {
-	field, kind, tagBytes := protowire.ConsumeTag(message)
+// startOfCall returns the start of the CallHead in the start of a StreamHead, or nil if it holds none.
+func startOfCall(start []byte) []byte {
+	field, kind, tagBytes := protowire.ConsumeTag(start)
 	if field != callField || kind != protowire.BytesType {
-		return "", false
+		return nil
 	}
-	_, sizeBytes := protowire.ConsumeVarint(message[tagBytes:])
+	_, sizeBytes := protowire.ConsumeVarint(start[tagBytes:])
 	if sizeBytes < 0 {
-		return "", true
+		return nil
 	}
-	head := message[tagBytes+sizeBytes:]
-	field, kind, tagBytes = protowire.ConsumeTag(head)
+	return start[tagBytes+sizeBytes:]
+}
+
+// parseCallID returns the id of a call, or nothing if the start of its message does not hold it.
+func parseCallID(call []byte) string {
+	field, kind, tagBytes := protowire.ConsumeTag(call)
 	if field != callIDField || kind != protowire.BytesType {
-		return "", true
+		return ""
 	}
-	value, valueBytes := protowire.ConsumeBytes(head[tagBytes:])
-	if valueBytes < 0 {
-		return "", true
+	id, idBytes := protowire.ConsumeBytes(call[tagBytes:])
+	if idBytes < 0 {
+		return ""
 	}
-	return string(value), true
+	return string(id)
 }
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -287,7 +287,7 @@
 		}
 		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, readError(ctx, err)), err
 	}
-	if err := awaitMemory(ctx, stream.Reader); err != nil {
+	if err := awaitMemory(ctx, stream.Reader, p.cfg.MaxBodyBytes+frameOverheadBytes); err != nil {
 		return failedAnswer(head, wirepb.Outcome_OUTCOME_UNKNOWN, readError(ctx, err)), err
 	}
 	answer := &wirepb.AnswerHead{}
--- a/internal/route/memory.go
+++ b/internal/route/memory.go
@@ -40,17 +40,17 @@
 	return body.Bytes(), true
 }
 
-// awaitMemory waits for the memory of the next message of a stream; it returns *NoMemoryError or *frame.ReadError.
-func awaitMemory(ctx context.Context, reader *bufio.Reader) error {
+// awaitMemory waits for the memory of the next message of a stream, of at most limit bytes; it returns *NoMemoryError or *frame.ReadError.
+func awaitMemory(ctx context.Context, reader *bufio.Reader, limit int64) error {
 	account := budget.FromContext(ctx)
 	if account == nil {
 		return nil
 	}
-	size, err := frame.NextSize(reader)
+	next, err := frame.PeekNext(reader, limit)
 	if err != nil {
 		return err
 	}
-	if !account.Await(ctx, budget.MessageBytes(size)) {
+	if !account.Await(ctx, budget.MessageBytes(next.Size, frame.LargestField(next.Start))) {
 		return &NoMemoryError{}
 	}
 	return nil
