--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -134,13 +134,15 @@
 func TestResponsesWaitForMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBudget()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
 		var wait sync.WaitGroup
 		for range 20 {
 			wait.Go(func() {
 				a := b.Open()
 				defer a.Close()
 				for range 4 {
-					if !a.Await(t.Context(), megabyte) {
+					if !a.Await(ctx, megabyte) {
 						t.Error("a response got no memory")
 					}
 					time.Sleep(time.Millisecond)
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -119,6 +120,35 @@
 	}
 }
 
+// Guards against heads that take more memory than is charged for them: many short lines take more than a hundred times their size.
+func TestHeadIsChargedForWhatItsPartsTake(t *testing.T) {
+	for name, line := range map[string]string{
+		"short lines": "#:\r\n", "the same name": "a:\r\n", "long names": strings.Repeat("Name-", 20) + "#: v\r\n",
+		"folded lines": "#: b\r\n c\r\n", "cookies": "Cookie: " + strings.Repeat("k=v; ", 100) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			head := "GET / HTTP/1.1\r\nHost: a\r\n"
+			for i := 0; len(head)+len(line) < memoryHeadBytes-100; i++ {
+				head += strings.ReplaceAll(line, "#", strconv.FormatInt(int64(i), 36))
+			}
+			head += "\r\n"
+			reader := bufio.NewReader(strings.NewReader(head))
+			before := allocatedBytes()
+			_, err := http.ReadRequest(reader)
+			allocated := allocatedBytes() - before
+			require.NoError(t, err)
+			f := newMemoryFixture(t, 0)
+			f.cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = fmt.Fprintf(w, "%d", f.budget.Held())
+			})
+			held, err := strconv.ParseUint(requireStatus(t, f.send(head), http.StatusOK), 10, 64)
+			require.NoError(t, err)
+			t.Logf("%d bytes allocated, %d charged", allocated, held)
+			require.GreaterOrEqual(t, held, allocated)
+		})
+	}
+}
+
 // Guards against bodies that stop before their end keeping their memory from others: they are refused, and have not run.
 func TestStalledBodyIsDroppedForAnother(t *testing.T) {
 	f := newMemoryFixture(t, 0)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -62,6 +62,8 @@
 	// MaxConnections is the number of connections from which the one that has been idle for longest is closed for a new one; zero means that it
 	// is not limited.
 	MaxConnections int
+	// OnAcceptFailure is called when the process has no descriptor for a connection.
+	OnAcceptFailure func(err error)
 	// OnInvalidRequest is called for each connection that ends with an invalid request.
 	OnInvalidRequest func()
 	// OnPanic is called with the value and the stack of a panic in a handler; the request gets status 502, as it may have run.
@@ -103,6 +105,9 @@
 	if cfg.OverloadHandler == nil {
 		cfg.OverloadHandler = cfg.RefusalHandler
 	}
+	if cfg.OnAcceptFailure == nil {
+		cfg.OnAcceptFailure = func(error) {}
+	}
 	if cfg.OnInvalidRequest == nil {
 		cfg.OnInvalidRequest = func() {}
 	}
@@ -144,6 +149,7 @@
 			continue
 		case probe.IsShortage(err):
 			s.AcceptFailures.Add(1)
+			s.cfg.OnAcceptFailure(err)
 			s.mu.Lock()
 			s.closeIdleForNew()
 			s.mu.Unlock()
--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -280,6 +280,10 @@
 	if errors.As(err, &connectErr) {
 		return notRunAnswer(head, wirepb.Refusal_REFUSAL_UNREACHABLE), ResultInconclusive
 	}
+	var malformed *MalformedResponseError
+	if errors.As(err, &malformed) {
+		u.onMalformed()
+	}
 	answer := &wirepb.AnswerHead{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: err.Error(), Arrived: true}
 	var noResponse *NoResponseError
 	switch {
--- a/internal/local/framing_test.go
+++ b/internal/local/framing_test.go
@@ -13,20 +13,21 @@
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
 
-// Guards against bytes that are no response of the protocol being taken for one, as a status 000 was on other systems, and against two readings
-// of where a response ends. A call without a response has an unknown outcome, and its connection is not used again.
-func TestOnlyResponsesOfTheProtocolCount(t *testing.T) {
+// framingCase is what an upstream sends.
+type framingCase struct {
+	name     string
+	response string
+	// status is that of the response, or 0 if the bytes are none.
+	status int
+}
+
+func framingCases() []framingCase {
 	const (
 		body = "\r\nhello"
 		ok   = "HTTP/1.1 200 OK\r\n"
 	)
 	longText := strings.Repeat("x", 3*connBufferBytes)
-	tests := []struct {
-		name     string
-		response string
-		// status is that of the response, or 0 if the bytes are none.
-		status int
-	}{
+	return []framingCase{
 		{"200", ok + "Content-Length: 5\r\n" + body, 200},
 		{"200 without a reason", "HTTP/1.1 200\r\nContent-Length: 5\r\n" + body, 200},
 		{"200 with an empty reason", "HTTP/1.1 200 \r\nContent-Length: 5\r\n" + body, 200},
@@ -85,14 +86,19 @@
 		{"chunks of HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", 0},
 		{"fault behind a long head", ok + "A: " + longText + "\r\nContent-Length: 5\r\nContent-Length: 5\r\n" + body, 0},
 	}
-	for _, tt := range tests {
+}
+
+// Guards against bytes that are no response of the protocol being taken for one, as a status 000 was on other systems, and against two readings
+// of where a response ends. A call without a response has an unknown outcome, and its connection is not used again.
+func TestOnlyResponsesOfTheProtocolCount(t *testing.T) {
+	for _, tt := range framingCases() {
 		t.Run(tt.name, func(t *testing.T) {
 			var connections atomic.Int32
 			address := serveScript(t, func(conn net.Conn, _ *http.Request) bool {
 				if connections.Add(1) == 1 {
 					_, _ = io.WriteString(conn, tt.response)
 				} else {
-					_, _ = io.WriteString(conn, ok+"Content-Length: 5\r\n"+body)
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
 				}
 				return true
 			})
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -96,6 +96,8 @@
 	RecordDeparture func(departure *wirepb.Departure)
 	// LoadDepartures returns the departures recorded by this and by earlier processes of the node.
 	LoadDepartures func() ([]*wirepb.Departure, error)
+	// OnMalformedResponse is called for each response that is none of the protocol; nil ignores it.
+	OnMalformedResponse func()
 	// bodies is shared by all upstreams.
 	bodies *bodyBudget
 	// startedAt is when the registry was created.
@@ -133,6 +135,9 @@
 		cfg.AnnounceInterval = DefaultAnnounceInterval
 	}
 	cfg.bodies, cfg.startedAt = &bodyBudget{}, cfg.Now()
+	if cfg.OnMalformedResponse == nil {
+		cfg.OnMalformedResponse = func() {}
+	}
 	return &Registry{
 		cfg: cfg, upstreams: map[netip.AddrPort]*upstream{}, outboundFailures: map[string]time.Time{},
 		departures: map[string]departure{}, departuresLoaded: cfg.LoadDepartures == nil, unconfirmed: map[netip.AddrPort]sighting{},
--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -45,6 +45,7 @@
 	pacer         *admit.Pacer
 	pool          *connPool
 	headers       *wirepb.HeaderNames
+	onMalformed   func()
 	// firstCallNanos is the Unix time of the first call in nanoseconds, or 0.
 	firstCallNanos atomic.Int64
 	// lastCrashNanos is the Unix time of the newest counted crash in nanoseconds.
@@ -63,7 +64,7 @@
 		pacer: admit.NewPacer(admit.PacerConfig{
 			Now: cfg.Now, Unknown: a.GetStarted() == nil || a.GetStarted().AsTime().Before(cfg.startedAt),
 		}),
-		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers,
+		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers, onMalformed: cfg.OnMalformedResponse,
 	}
 	if a.GetStarted() != nil {
 		u.started = a.GetStarted().AsTime()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -155,12 +155,12 @@
 }
 
 func newLocalRegistry(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, members *member.Table,
-	verdicts *move.Verdicts, monitor *move.Monitor, departures *depart.Ledger,
+	verdicts *move.Verdicts, monitor *move.Monitor, departures *depart.Ledger, metrics *meter.Metrics,
 ) *local.Registry {
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
-		Observe: monitor.Observe,
+		Observe: monitor.Observe, OnMalformedResponse: func() { metrics.CountInvalidInput("upstream") },
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -45,6 +45,16 @@
 	return descriptors - descriptors/descriptorReserveDivisor
 }
 
+// newAcceptFailureLog returns a function that logs, within bounds, that the process has no descriptor for a connection of a caller.
+func (n *Node) newAcceptFailureLog() func(err error) {
+	limiter := rate.NewLimiter(shortagesLogged, shortagesLogged)
+	return func(err error) {
+		if limiter.Allow() {
+			n.logger.Warn("could not accept connection of a caller", zap.Error(err))
+		}
+	}
+}
+
 // registerCallerMetrics registers the metrics of the memory and the connections of callers.
 func (n *Node) registerCallerMetrics() {
 	m, b, s := n.metrics, n.budget, n.callerServer
@@ -52,6 +62,7 @@
 	m.RegisterCounter("caller_connections_closed_idle_total", "Idle connections of callers that were closed for new ones.", nil, func() float64 { return float64(s.ClosedIdle.Load()) })
 	m.RegisterCounter("caller_connections_refused_total", "Connections of callers for which there was no descriptor or memory.", nil, func() float64 { return float64(s.RefusedConnections.Load()) })
 	m.RegisterCounter("caller_accept_failures_total", "Times that the process had no descriptor for a connection of a caller.", nil, func() float64 { return float64(s.AcceptFailures.Load()) })
+	m.RegisterCounter("peer_accept_failures_total", "Times that the process had no descriptor for a session of a node.", nil, func() float64 { return float64(n.peerServer.AcceptFailures.Load()) })
 	if b == nil {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,7 +240,7 @@
 func (n *Node) startCallerServer(group *errgroup.Group, ctx context.Context) {
 	n.callerServer = front.New(front.Config{
 		Handler: n.proxy, RefusalHandler: http.HandlerFunc(n.proxy.RefuseWhileStopping), Limits: n.callerLimits,
-		OverloadHandler: http.HandlerFunc(n.proxy.RefuseForMemory), Budget: n.budget, MaxConnections: maxCallerConnections(n.settings.MaxDescriptors),
+		OnAcceptFailure: n.newAcceptFailureLog(), OverloadHandler: http.HandlerFunc(n.proxy.RefuseForMemory), Budget: n.budget, MaxConnections: maxCallerConnections(n.settings.MaxDescriptors),
 		OnInvalidRequest: func() { n.metrics.CountInvalidInput("caller") }, OnPanic: n.logPanic,
 	})
 	n.registerCallerMetrics()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,6 +45,8 @@
 type Server struct {
 	// Rejected counts sessions and streams that sent invalid data, and sessions beyond maxSessions.
 	Rejected atomic.Uint64
+	// AcceptFailures counts the times that the process had no descriptor for a session.
+	AcceptFailures atomic.Uint64
 
 	cfg      ServerConfig
 	mu       sync.Mutex
@@ -69,6 +71,7 @@
 		}
 		if err != nil {
 			if probe.IsShortage(err) {
+				s.AcceptFailures.Add(1)
 				time.Sleep(acceptDelay)
 				continue
 			}
