--- a/internal/local/upstream.go
+++ b/internal/local/upstream.go
@@ -51,6 +51,7 @@
 	headers       *wirepb.HeaderNames
 	// workspacesDeclared is that of the registry's configuration.
 	workspacesDeclared func() bool
+	onMalformed        func()
 	// firstCallNanos is the Unix time of the first call in nanoseconds, or 0.
 	firstCallNanos atomic.Int64
 	// lastCrashNanos is the Unix time of the newest counted crash in nanoseconds.
@@ -77,6 +78,7 @@
 			Now: cfg.Now, Unknown: unknown, UncountedUntil: uncountedUntil,
 		}),
 		pool: newConnPool(address, cfg.bodies, cfg.Now), headers: cfg.Headers, workspacesDeclared: cfg.WorkspacesDeclared,
+		onMalformed: cfg.OnMalformedResponse,
 	}
 	if a.GetStarted() != nil {
 		u.started = a.GetStarted().AsTime()
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -47,7 +47,7 @@
 		func() *logs.Sink { return sink },
 		func() clock { return time.Now },
 		meter.New, move.NewVerdicts,
-		newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newDepartures, newLocalRegistry, newHub,
+		newBudget, newStore, newLog, newMembers, newPool, newMonitor, newMoveController, newDepartures, newLocalRegistry, newHub,
 		newPicker, newEgress, newClaims, newQuotaSource, newQuota, newImporter, newProxy, newStatusSource, newAdmin, newNode,
 	}
 	for _, c := range constructors {
@@ -237,14 +237,14 @@
 }
 
 func newLocalRegistry(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, members *member.Table,
-	verdicts *move.Verdicts, monitor *move.Monitor, departures *depart.Ledger,
+	verdicts *move.Verdicts, monitor *move.Monitor, departures *depart.Ledger, metrics *meter.Metrics,
 ) *local.Registry {
 	return local.New(local.Config{
 		Logger: logger, Now: now, QueueFactor: s.QueueFactor, MaxBodyBytes: s.MaxBodyBytes,
 		Headers: s.Headers, AnnounceInterval: s.AnnounceInterval,
 		AdmissionPolicy:    s.AdmissionPolicy,
 		WorkspacesDeclared: func() bool { return len(log.State().Workspaces) > 0 },
-		Observe:            monitor.Observe,
+		Observe:            monitor.Observe, OnMalformedResponse: func() { metrics.CountInvalidInput("upstream") },
 		CheckExposure: func(exposure local.Exposure) wirepb.Refusal {
 			if s.MovePolicy == move.PolicyClock {
 				return wirepb.Refusal_REFUSAL_UNSPECIFIED
@@ -339,7 +339,7 @@
 		serving:  make(chan struct{}),
 		settings: deps.Settings, logger: deps.Logger, now: deps.Now, store: deps.Store, log: deps.Log, members: deps.Members,
 		verdicts: deps.Verdicts, pool: deps.Pool, moveController: deps.MoveController, localRegistry: deps.LocalRegistry, hub: deps.Hub, picker: deps.Picker, egress: deps.Egress,
-		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, quota: deps.Quota, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics,
+		importer: deps.Importer, claims: deps.Claims, departures: deps.Departures, quota: deps.Quota, proxy: deps.Proxy, admin: deps.Admin, metrics: deps.Metrics, budget: deps.Budget,
 	}
 	deps.Status.node = n
 	deps.Metrics.RegisterCounter("log_lines_dropped_total", "Log lines for which there was no room.", nil, func() float64 { return float64(deps.Sink.Dropped.Load()) })
