--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -121,7 +121,7 @@
 	} {
 		n.metrics.RegisterCounter("quota_calls_total", "Calls of workspaces with a quota, by decision.", map[string]string{"decision": decision}, func() float64 { return float64(count.Load()) })
 	}
-	for kind, count := range map[string]*atomic.Uint64{"sent": &counters.Requests, "unanswered": &counters.Failures, "served": &counters.Served} {
+	for kind, count := range map[string]*atomic.Uint64{"sent": &counters.Requests, "unanswered": &counters.Failures, "served": &counters.Served, "invalid": &counters.Invalid} {
 		n.metrics.RegisterCounter("quota_requests_total", "Requests for quota tokens, by kind.", map[string]string{"kind": kind}, func() float64 { return float64(count.Load()) })
 	}
 	n.metrics.RegisterCounter("quota_granted_total", "Quota tokens granted to nodes, this one included.", nil, func() float64 { return float64(counters.Granted.Load()) })
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -53,6 +53,7 @@
 	<-n.serving
 	time.Sleep(max(n.settings.LeaveTime, minLeaveDuration))
 	n.localRegistry.Stop()
+	n.quota.Close()
 	var leave sync.WaitGroup
 	defer leave.Wait()
 	leave.Go(func() { n.hub.Leave(context.Background()) })
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -15,7 +15,7 @@
 
 const (
 	// requestTimeout covers a dial and a round trip between the most distant regions.
-	requestTimeout = 500 * time.Millisecond
+	requestTimeout = 350 * time.Millisecond
 	// silentTimeout is how long a node that fell silent counts as one that may be running on the other side of a cut.
 	silentTimeout = time.Minute
 	tickInterval  = 50 * time.Millisecond
@@ -49,8 +49,9 @@
 	Admitted, Exceeded, Unavailable, Returned atomic.Uint64
 	// Granted counts the tokens that this node granted as an owner.
 	Granted atomic.Uint64
-	// Requests counts the requests sent to other nodes, Failures those without a reply, Served the requests of other nodes.
-	Requests, Failures, Served atomic.Uint64
+	// Requests counts the requests sent to other nodes, Failures those without a reply, Served the requests of other nodes, and Invalid
+	// those of them that name no shard.
+	Requests, Failures, Served, Invalid atomic.Uint64
 }
 
 // Decision says whether a call may run.
@@ -120,7 +121,7 @@
 	}
 }
 
-// Leave ends the votes of this node and its grants, before it stops. Calls are still admitted with tokens of others.
+// Leave takes back the votes of this node and returns those that it holds, before it stops. Calls are still admitted with tokens of others.
 func (l *Limiter) Leave() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,9 +130,20 @@
 	l.sendDue()
 }
 
+// Close ends the grants of this node. It must be called before the other nodes learn that this one has left, since they vote for others
+// then without asking.
+func (l *Limiter) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner.Close()
+}
+
 // HandleRequest replies to the request of another node.
 func (l *Limiter) HandleRequest(request *wirepb.QuotaRequest) *wirepb.QuotaReply {
 	l.Counters.Served.Add(1)
+	if _, _, valid := voteOf(request); !valid && l.Counters.Invalid.Add(1) == 1 {
+		l.cfg.Logger.Warn("request for quota tokens names no shard; further ones are only counted", zap.String("node", request.GetNode()))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.handle(request)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -82,8 +82,12 @@
 	return &Owner{cfg: cfg, lastStamp: cfg.FirstStamp, ledgers: map[shardKey]*ledger{}}
 }
 
-// Leave makes the owner grant nothing any more. Its replies then carry no stamp, so that nodes vote for others at once.
-func (o *Owner) Leave() {
+// Leave makes the owner accept no votes and return those of all nodes that ask. It still grants in proportion to the others. Its replies
+// carry no stamp, so that nodes vote for other owners at once.
+func (o *Owner) Leave() { o.leaving = true }
+
+// Close makes the owner grant nothing any more.
+func (o *Owner) Close() {
 	o.leaving = true
 	clear(o.ledgers)
 }
@@ -91,16 +95,26 @@
 // Handle replies to a request. A request without a vote takes back an earlier one of its sender.
 func (o *Owner) Handle(now Reading, request *wirepb.QuotaRequest) *wirepb.QuotaReply {
 	key, stamp, found := voteOf(request)
-	if o.leaving || !found {
+	l := o.ledgers[key]
+	if !found || o.leaving && l == nil {
 		return &wirepb.QuotaReply{Unavailable: true}
 	}
-	l := o.ledger(key, now)
+	if l == nil {
+		l = o.addLedger(key, now)
+	}
 	current := o.stamp(now)
 	l.advance(now, current)
-	l.vote(now, request, stamp, current)
+	if !o.leaving {
+		l.vote(now, request, stamp, current)
+	}
 	o.sync(l, key, now, request.GetNeeds())
 	reply := &wirepb.QuotaReply{Unavailable: l.share == 0}
-	reply.Grants = append(reply.Grants, &wirepb.QuotaGrant{Workspace: key.String(), Tokens: o.stamp(now)})
+	if o.leaving {
+		// The sender gets its tokens by its vote for the last time.
+		defer l.vote(now, request, 0, current)
+	} else {
+		reply.Grants = append(reply.Grants, &wirepb.QuotaGrant{Workspace: key.String(), Tokens: o.stamp(now)})
+	}
 	if reply.Unavailable {
 		return reply
 	}
@@ -129,10 +143,7 @@
 	return shardKey{}, 0, false
 }
 
-func (o *Owner) ledger(key shardKey, now Reading) *ledger {
-	if l, found := o.ledgers[key]; found {
-		return l
-	}
+func (o *Owner) addLedger(key shardKey, now Reading) *ledger {
 	for other, l := range o.ledgers {
 		if len(l.votes) == 0 && now.Slow-l.votedAt > idleLedgerTimeout {
 			delete(o.ledgers, other)
--- a/internal/quota/shard.go
+++ b/internal/quota/shard.go
@@ -17,7 +17,7 @@
 	// maxFailures is the number of requests without a reply after which a node is not asked any more.
 	maxFailures   = 2
 	probeInterval = time.Second
-	// leftTimeout is how long a node that refuses to grant because it stops is not asked.
+	// leftTimeout is how long a node that refuses votes because it stops is not probed.
 	leftTimeout = 5 * time.Second
 	// maxMoveDelay spreads the moves of nodes to an owner that ranks higher, whose buckets start empty.
 	maxMoveDelay = 1500 * time.Millisecond
@@ -46,8 +46,9 @@
 	failures         int
 	sentAt           time.Duration
 	unavailableUntil time.Duration
-	// suspects holds the nodes that did not reply, with the time of the last probe.
-	suspects map[string]time.Duration
+	// suspects holds the nodes that did not reply or refuse to grant because they stop, probedAt the times of the last probes.
+	suspects map[string]bool
+	probedAt map[string]time.Duration
 	// urgent means that calls are waiting, refill that the stock is short, voteNow that a vote can be cast.
 	urgent, refill, voteNow bool
 }
@@ -91,7 +92,7 @@
 func (s *Stock) shard(key shardKey) *shard {
 	i, found := slices.BinarySearchFunc(s.shards, key.index, func(d *shard, index uint32) int { return cmp.Compare(d.key.index, index) })
 	if !found {
-		s.shards = slices.Insert(s.shards, i, &shard{key: key, spaces: map[string]*space{}, suspects: map[string]time.Duration{}})
+		s.shards = slices.Insert(s.shards, i, &shard{key: key, spaces: map[string]*space{}, suspects: map[string]bool{}, probedAt: map[string]time.Duration{}})
 	}
 	return s.shards[i]
 }
@@ -167,16 +168,15 @@
 func (s *Stock) chooseTarget(d *shard, now Reading) {
 	desired := ""
 	for _, name := range s.view.candidates(d.key) {
-		if _, suspect := d.suspects[name]; !suspect {
+		if !d.suspects[name] {
 			desired = name
 			break
 		}
 	}
-	_, suspect := d.suspects[d.target]
 	switch {
 	case desired == "" || desired == d.target:
 		d.moveAt, d.moving = 0, false
-	case d.target == "" || suspect || !s.view.member(d.target).Live:
+	case d.target == "" || d.vote.holder == desired || d.suspects[d.target] || !s.view.member(d.target).Live:
 		d.setTarget(desired)
 	case d.moveAt == 0:
 		d.moveAt = now.Slow + time.Duration(s.random()*float64(maxMoveDelay))
@@ -215,11 +215,12 @@
 		}
 	}
 	if stamp == 0 {
-		d.suspects[r.Target] = now.Slow + leftTimeout
+		d.suspects[r.Target] = true
+		d.probedAt[r.Target] = now.Slow + leftTimeout
 	} else {
 		delete(d.suspects, r.Target)
 	}
-	// A node that stops grants nothing any more. A request without a vote takes back those that were sent before it.
+	// A node that stops does not count the vote any more. A request without a vote takes back those that were sent before it.
 	if d.vote.holder == r.Target && (stamp == 0 || !r.votes && d.vote.castID < r.id) {
 		d.vote = heldVote{}
 	}
@@ -232,26 +233,28 @@
 	}
 }
 
-// probe returns a request to a node that ranks above the target and did not reply earlier.
-func (s *Stock) probe(d *shard, now Reading) *Request {
+// probes returns requests without needs: to nodes that did not reply earlier, to return to one of them when it does, and to the other
+// candidates while the target does not reply, to know by then which of them do.
+func (s *Stock) probes(d *shard, now Reading) []*Request {
+	var due []*Request
 	candidates := s.view.candidates(d.key)
 	for name := range d.suspects {
 		if !slices.Contains(candidates, name) {
 			delete(d.suspects, name)
+			delete(d.probedAt, name)
 		}
 	}
+	failing := d.failures > 0 || d.suspects[d.target]
 	for _, name := range candidates {
-		probedAt, suspect := d.suspects[name]
-		if name == d.target && !suspect {
-			return nil
-		}
-		if suspect && now.Slow-probedAt >= probeInterval {
-			d.suspects[name] = now.Slow
-			r := s.newRequest(d, now, name)
-			r.probe = true
-			r.Message.Needs = []*wirepb.QuotaNeed{{Workspace: d.key.String()}}
-			return r
+		probedAt, probed := d.probedAt[name]
+		if name == d.target || !d.suspects[name] && !failing || probed && now.Slow-probedAt < probeInterval {
+			continue
 		}
+		d.probedAt[name] = now.Slow
+		r := s.newRequest(d, now, name)
+		r.probe = true
+		r.Message.Needs = []*wirepb.QuotaNeed{{Workspace: d.key.String()}}
+		due = append(due, r)
 	}
-	return nil
+	return due
 }
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -252,9 +252,7 @@
 		if d.target == "" {
 			continue
 		}
-		if probe := s.probe(d, now); probe != nil {
-			due = append(due, probe)
-		}
+		due = append(due, s.probes(d, now)...)
 		if s.isDue(d, now) {
 			due = append(due, s.request(d, now))
 		}
@@ -364,6 +362,7 @@
 	s.settle(r)
 	d := r.shard
 	if r.probe {
+		d.suspects[r.Target] = true
 		return
 	}
 	for p := range r.asked {
@@ -374,7 +373,8 @@
 	}
 	d.failures++
 	if d.failures >= maxFailures {
-		d.suspects[d.target] = now.Slow
+		d.suspects[d.target] = true
+		d.probedAt[d.target] = now.Slow
 		d.failures = 0
 	}
 }
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -19,6 +19,9 @@
 	// maxVoters is the number of nodes that vote on the owner of a shard in large deployments. It bounds the requests that an owner
 	// gets for votes alone. With fewer, the share of voters that a part of the deployment has would differ much from its share of nodes.
 	maxVoters = 32
+	// drawMargin is the part by which fewer nodes vote, and more are counted as voters, than maxVoters. Without it, nodes that know different
+	// numbers of nodes would take themselves for voters that others do not count.
+	drawMargin = 0.015
 	// candidateCount is the number of nodes of a shard that are tried as its owner.
 	candidateCount = 5
 	// shardPrefix starts the entry of a message that carries the vote in a shard; it is no part of a workspace's name.
@@ -144,7 +147,12 @@
 	if v.counted <= maxVoters {
 		return true
 	}
-	threshold := uint64(float64(maxVoters) / float64(v.counted) * math.MaxUint64)
+	return v.isDrawn(nodeHash, key, 1-drawMargin)
+}
+
+// isDrawn reports whether a node is one of the voters of a shard if their number is multiplied by a factor.
+func (v *View) isDrawn(nodeHash uint64, key shardKey, factor float64) bool {
+	threshold := uint64(float64(maxVoters) * factor / float64(v.counted) * math.MaxUint64)
 	return mix(bits.RotateLeft64(nodeHash, 17), key) < threshold
 }
 
@@ -158,7 +166,7 @@
 	}
 	count := 0
 	for i, m := range v.members {
-		if !m.Left && v.votes(v.hashes[i], key) {
+		if !m.Left && v.isDrawn(v.hashes[i], key, 1+drawMargin) {
 			count++
 		}
 	}
