--- a/internal/emul/platform.go
+++ b/internal/emul/platform.go
@@ -35,6 +35,9 @@
 	// of them waits, further ones fail with status 429. Zero means no limit.
 	PartTransactionsPerSecond float64
 	Seed                      uint64
+	// NamesEra makes all responses name the store's era, which starts at Era.
+	NamesEra bool
+	Era      uint64
 }
 
 // Platform emulates the platform's transactional table and object store.
@@ -52,6 +55,9 @@
 	random  *rand.Rand
 	reads   uint64
 	writes  uint64
+	// era increases with each return from a copy; namesEra says that responses name it.
+	era      uint64
+	namesEra bool
 
 	readLimit  *rate.Limiter
 	writeLimit *rate.Limiter
@@ -77,6 +83,8 @@
 		writeLimit: newLimiter(cfg.WritesPerSecond),
 		partRate:   cfg.PartTransactionsPerSecond,
 		partFreeAt: map[string]time.Time{},
+		era:        cfg.Era,
+		namesEra:   cfg.NamesEra,
 	}
 }
 
@@ -126,6 +134,7 @@
 // Handler serves the platform's protocol, with the faults and the operation counts under /control.
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(p.nameEra)
 	platform.RegisterStore(r, platform.StoreBackend{
 		Admit: p.admitTransaction, Transact: p.transact, Rows: p.findRows, Feed: p.feed,
 		PutObject: p.putObject, Object: p.getObject, DeleteObject: p.deleteObject,
@@ -278,7 +287,7 @@
 		rows := p.sortedRows(func(name rowKey, row *wirepb.Row) bool {
 			return name.table == table && row.GetVersion() > after
 		}, func(a, b *wirepb.Row) bool { return a.GetVersion() < b.GetVersion() })
-		page, changed, retained := platform.Rows{Rows: rows, Version: p.version}, p.changed, after >= p.expiredVersion
+		page, changed, retained := platform.Rows{Rows: rows, Version: p.version}, p.changed, after >= p.expiredVersion && after <= p.version
 		p.mu.Unlock()
 		if len(rows) > 0 || !retained {
 			return page, retained
