--- a/internal/admin/errors.go
+++ b/internal/admin/errors.go
@@ -48,6 +48,7 @@
 		queueFull      *oplog.QueueFullError
 		contention     *oplog.ContentionError
 		stopped        *oplog.StoppedError
+		reestablishing *oplog.ReestablishingError
 		unavailable    *store.UnavailableError
 	)
 	notRun := func(status int, kind string) (int, *wirepb.Failure) {
@@ -64,7 +65,7 @@
 		return notRun(http.StatusNotFound, "missing")
 	case errors.As(err, &invalidRequest), errors.As(err, &path), errors.As(err, &value), errors.As(err, &limit):
 		return notRun(http.StatusUnprocessableEntity, "refused")
-	case errors.As(err, &queueFull), errors.As(err, &contention), errors.As(err, &stopped):
+	case errors.As(err, &queueFull), errors.As(err, &contention), errors.As(err, &stopped), errors.As(err, &reestablishing):
 		return notRun(http.StatusServiceUnavailable, "busy")
 	case errors.As(err, &unavailable):
 		return notRun(http.StatusServiceUnavailable, "platform_unavailable")
--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -80,6 +80,10 @@
 			return
 		case first := <-l.queue:
 			l.commitBatch(ctx, l.gatherBatch(first))
+		case <-l.era.wake:
+			if l.era.following.CompareAndSwap(false, true) {
+				l.tasks.Go(func() { l.followEra(ctx) })
+			}
 		}
 	}
 }
@@ -111,27 +115,37 @@
 
 func (l *Log) commitBatch(ctx context.Context, batch []*submission) {
 	started := l.now()
+	// unresolved holds the changes of the batch that may have been committed in an earlier era of the store.
+	var unresolved []*wirepb.Change
 	for attempt := 1; attempt <= maxCommitAttempts; attempt++ {
-		head, version, err := l.sync(ctx)
+		row, included, err := l.syncInEra(ctx, batch[0], unresolved)
 		if err != nil {
 			replyAll(batch, 0, err)
 			return
 		}
+		if included {
+			replyCommitted(batch, unresolved)
+			return
+		}
 		var changes []*wirepb.Change
 		batch, changes = l.buildChanges(batch)
 		if len(batch) == 0 {
 			return
 		}
 		writing := l.now()
-		committed, err := l.writeChanges(ctx, head, version, changes)
-		if err != nil {
+		committed, err := l.writeChanges(ctx, row, changes)
+		unresolved = nil
+		switch {
+		case store.IsOtherEra(err):
+			unresolved = changes
+			continue
+		case err != nil:
 			replyAll(batch, 0, err)
 			return
-		}
-		if committed {
+		case committed:
 			l.logger.Info("changes committed", zap.Uint64("revision", changes[len(changes)-1].GetRevision()), zap.Int("changes", len(changes)),
 				zap.Int("attempts", attempt), zap.Duration("took", l.now().Sub(started)), zap.Duration("written_in", l.now().Sub(writing)))
-			l.applyCommitted(ctx, head, batch, changes)
+			l.applyCommitted(ctx, row, batch, changes)
 			return
 		}
 		sleep(ctx, time.Duration(l.jitter()*float64(retryDelay)))
@@ -177,12 +191,12 @@
 
 // writeChanges reports whether the changes were committed at their revisions. If the platform's response is lost, it looks
 // for the operation id of the first change in the row of that revision.
-func (l *Log) writeChanges(ctx context.Context, head *wirepb.Head, version uint64, changes []*wirepb.Change) (bool, error) {
+func (l *Log) writeChanges(ctx context.Context, head *headRow, changes []*wirepb.Change) (bool, error) {
 	rows, err := l.packLargeChanges(ctx, changes)
 	if err != nil {
 		return false, err
 	}
-	transaction, err := newTransaction(head, version, rows)
+	transaction, err := newTransaction(head, rows)
 	if err != nil {
 		return false, err
 	}
@@ -194,10 +208,12 @@
 	var unknown *store.UnknownOutcomeError
 	unresolved := false
 	for {
-		committed, err := l.store.Transact(ctx, transaction)
+		committed, err := l.store.TransactIn(ctx, head.era, transaction)
 		switch {
 		case err == nil && (committed || !unresolved):
 			return committed, nil
+		case store.IsOtherEra(err):
+			return false, err
 		case err != nil && !unresolved && !errors.As(err, &unknown):
 			return false, err
 		}
@@ -205,6 +221,9 @@
 		headMoved := err == nil
 		unresolved = true
 		written, found, err := l.findWritten(ctx, changes[0])
+		if have := l.store.Era(); have != head.era {
+			return false, &store.EraChangedError{Want: head.era, Have: have}
+		}
 		if err == nil && (found || headMoved) {
 			return written, nil
 		}
@@ -268,13 +287,10 @@
 	return puts, nil
 }
 
-func newTransaction(head *wirepb.Head, version uint64, changes []*wirepb.Change) (*wirepb.Transaction, error) {
-	next := &wirepb.Head{
-		Revision:         changes[len(changes)-1].GetRevision(),
-		SnapshotRevision: head.GetSnapshotRevision(),
-	}
-	transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: headKey, Version: version}}}
-	if err := addPut(transaction, headKey, next); err != nil {
+func newTransaction(head *headRow, changes []*wirepb.Change) (*wirepb.Transaction, error) {
+	next := head.next(changes[len(changes)-1].GetRevision(), head.head.GetSnapshotRevision())
+	transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{head.condition()}}
+	if err := addPut(transaction, headKeyOf(head.era), next); err != nil {
 		return nil, err
 	}
 	for _, c := range changes {
@@ -294,13 +310,12 @@
 	return nil
 }
 
-func (l *Log) applyCommitted(ctx context.Context, head *wirepb.Head, batch []*submission, changes []*wirepb.Change) {
+func (l *Log) applyCommitted(ctx context.Context, head *headRow, batch []*submission, changes []*wirepb.Change) {
 	l.ApplyChanges(changes, Origin{ReceivedAt: l.now()})
-	for i, s := range batch {
-		s.reply <- submissionResult{revision: changes[i].GetRevision()}
-	}
+	l.recordCommit()
+	replyCommitted(batch, changes)
 	newest := changes[len(changes)-1].GetRevision()
-	if newest-head.GetSnapshotRevision() < changesPerSnapshot || !l.storingSnapshot.CompareAndSwap(false, true) {
+	if newest-head.head.GetSnapshotRevision() < changesPerSnapshot || !l.storingSnapshot.CompareAndSwap(false, true) {
 		return
 	}
 	l.tasks.Go(func() { l.storeSnapshots(ctx) })
@@ -343,18 +358,18 @@
 // snapshot that was named before. It reports false if the head names a newer one, or if commits came first every time.
 func (l *Log) nameSnapshot(ctx context.Context, revision uint64) (uint64, bool, error) {
 	for range maxCommitAttempts {
-		head, version, err := l.readHead(ctx)
-		if err != nil || head.GetSnapshotRevision() >= revision {
+		before := l.State().Revision
+		row, err := l.readHead(ctx)
+		// A snapshot of an earlier era is no part of the log any more.
+		if err != nil || row.isOlder(before) || row.head.GetSnapshotRevision() >= revision {
 			return 0, false, err
 		}
-		previous := head.GetSnapshotRevision()
-		head.SnapshotRevision = revision
-		transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{{Key: headKey, Version: version}}}
-		if err := addPut(transaction, headKey, head); err != nil {
+		transaction := &wirepb.Transaction{Conditions: []*wirepb.Condition{row.condition()}}
+		if err := addPut(transaction, headKeyOf(row.era), row.next(row.head.GetRevision(), revision)); err != nil {
 			return 0, false, err
 		}
-		if committed, err := l.store.Transact(ctx, transaction); err != nil || committed {
-			return previous, committed, err
+		if committed, err := l.store.TransactIn(ctx, row.era, transaction); err != nil || committed {
+			return row.head.GetSnapshotRevision(), committed, err
 		}
 	}
 	return 0, false, nil
@@ -387,6 +402,13 @@
 	return keys
 }
 
+// replyCommitted replies to each submission the revision of its change.
+func replyCommitted(batch []*submission, changes []*wirepb.Change) {
+	for i, s := range batch {
+		s.reply <- submissionResult{revision: changes[i].GetRevision()}
+	}
+}
+
 func replyAll(batch []*submission, revision uint64, err error) {
 	for _, s := range batch {
 		s.reply <- submissionResult{revision: revision, err: err}
--- a/internal/oplog/errors.go
+++ b/internal/oplog/errors.go
@@ -50,3 +50,20 @@
 
 // Unwrap returns the cause.
 func (e *CorruptError) Unwrap() error { return e.Cause }
+
+// ReestablishingError says that the store came back from an older copy and that no node has written the log again yet.
+type ReestablishingError struct {
+	Era uint64
+}
+
+func (e *ReestablishingError) Error() string {
+	return fmt.Sprintf("the log is not established yet in era %d of the store: try again later", e.Era)
+}
+
+// SupersededError says that a change which was lost with an older copy of the store is not submitted again, since one of its paths has
+// changed since.
+type SupersededError struct {
+	Path string
+}
+
+func (e *SupersededError) Error() string { return fmt.Sprintf("%s has changed since", e.Path) }
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -28,6 +28,9 @@
 	// OnApplied is called for each change that comes into force, with its age, but not for those with which a node starts; nil means that
 	// nothing is.
 	OnApplied func(age time.Duration)
+	// WatchesEras reports whether this node holds rows that it may have to write again when the store came back from an older copy, so that
+	// it has to learn of that even if links bring the log; nil means that it never does.
+	WatchesEras func() bool
 }
 
 // Origin says from where and when a node received changes.
@@ -51,6 +54,9 @@
 	jitter     func() float64
 	exportRows func(change *wirepb.Change) ([]*wirepb.Row, error)
 	onApplied  func(age time.Duration)
+	// watchesEras is Config.WatchesEras.
+	watchesEras func() bool
+	era         eraState
 
 	state         atomic.Pointer[tree.State]
 	invalid       atomic.Pointer[InvalidRevision]
@@ -102,11 +108,16 @@
 	if cfg.OnApplied == nil {
 		cfg.OnApplied = func(time.Duration) {}
 	}
+	if cfg.WatchesEras == nil {
+		cfg.WatchesEras = func() bool { return false }
+	}
 	l := &Log{
 		store: cfg.Store, logger: cfg.Logger, now: cfg.Now, jitter: cfg.Jitter, exportRows: cfg.ExportRows, onApplied: cfg.OnApplied,
-		queue:   make(chan *submission, maxQueuedChanges),
-		changed: make(chan struct{}),
+		queue:       make(chan *submission, maxQueuedChanges),
+		changed:     make(chan struct{}),
+		watchesEras: cfg.WatchesEras,
 	}
+	l.era.wake, l.era.started = make(chan struct{}, 1), cfg.Now()
 	l.state.Store(tree.EmptyState())
 	return l
 }
@@ -153,6 +164,9 @@
 		l.recentChanges = append([]*wirepb.Change(nil), l.recentChanges[len(l.recentChanges)-recentChangesKept:]...)
 	}
 	l.setState(next)
+	if origin.Node != "" {
+		l.noteLinked()
+	}
 	if state.Revision > 0 {
 		l.observeAges(changes)
 	}
@@ -176,22 +190,31 @@
 		zap.Duration("waited", started.Sub(origin.ReceivedAt)), zap.Duration("compiled_in", now.Sub(started)))
 }
 
-// ApplySnapshot replaces the current state by a snapshot if the snapshot is newer.
+// ApplySnapshot replaces the current state by a snapshot that a link brought if the snapshot is newer.
 func (l *Log) ApplySnapshot(snapshot *wirepb.Snapshot) {
+	if l.applySnapshot(snapshot) {
+		l.noteLinked()
+	}
+}
+
+// applySnapshot replaces the current state by a snapshot if the snapshot is newer, and reports whether it did.
+func (l *Log) applySnapshot(snapshot *wirepb.Snapshot) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.recordKnownRevision(snapshot.GetRevision())
 	if snapshot.GetRevision() <= l.State().Revision {
-		return
+		return false
 	}
 	next, err := tree.FromSnapshot(snapshot)
 	if err != nil {
 		l.markInvalid(snapshot.GetRevision(), err)
-		return
+		return false
 	}
+	l.noteReplaced(l.State(), snapshot)
 	l.recentChanges = nil
 	l.setState(next)
 	l.logger.Info("snapshot applied", zap.Uint64("revision", next.Revision))
+	return true
 }
 
 func (l *Log) setState(next *tree.State) {
@@ -234,6 +257,9 @@
 
 // revisionOfOperation returns the revision that an operation was committed as, if it is among the recent changes.
 func (l *Log) revisionOfOperation(id string) (uint64, bool) {
+	if revision, found := l.includedRevision(id); found {
+		return revision, true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := len(l.recentChanges) - 1; i >= 0; i-- {
--- a/internal/oplog/log_test.go
+++ b/internal/oplog/log_test.go
@@ -27,7 +27,18 @@
 
 func newPlatform(t *testing.T) (*emul.Platform, netip.AddrPort) {
 	t.Helper()
-	platform := emul.NewPlatform(emul.PlatformConfig{Seed: 1})
+	return startPlatform(t, emul.PlatformConfig{Seed: 1})
+}
+
+// newEraPlatform returns a platform whose responses name its era.
+func newEraPlatform(t *testing.T) (*emul.Platform, netip.AddrPort) {
+	t.Helper()
+	return startPlatform(t, emul.PlatformConfig{Seed: 1, NamesEra: true})
+}
+
+func startPlatform(t *testing.T, cfg emul.PlatformConfig) (*emul.Platform, netip.AddrPort) {
+	t.Helper()
+	platform := emul.NewPlatform(cfg)
 	server := httptest.NewServer(platform.Handler())
 	t.Cleanup(server.Close)
 	return platform, netip.MustParseAddrPort(server.Listener.Addr().String())
@@ -41,6 +52,13 @@
 	return l
 }
 
+// setValue sets a service to a value.
+func setValue(name, value string) BuildFunc {
+	return func(state *tree.State) (*wirepb.Change, error) {
+		return state.NewChange("shop", []*wirepb.Edit{{Path: "/teams/shop/services/" + name, Value: value}}, time.Now())
+	}
+}
+
 func setService(coldStartSeconds int) BuildFunc {
 	return func(state *tree.State) (*wirepb.Change, error) {
 		value := fmt.Sprintf(`{"version": "v1", "cold_start": "%ds"}`, coldStartSeconds)
@@ -132,8 +150,8 @@
 		require.NoError(t, err)
 	}
 	require.Eventually(t, func() bool {
-		head, _, err := l.readHead(t.Context())
-		return err == nil && head.GetSnapshotRevision() == changesPerSnapshot
+		row, err := l.readHead(t.Context())
+		return err == nil && row.head.GetSnapshotRevision() == changesPerSnapshot
 	}, snapshotTimeout, time.Millisecond)
 	require.NoError(t, l.store.DeleteObject(t.Context(), snapshotName(changesPerSnapshot)))
 	fresh := newLog(t, address)
--- a/internal/oplog/pack.go
+++ b/internal/oplog/pack.go
@@ -44,7 +44,7 @@
 	}
 	return &wirepb.Change{
 		Revision: change.GetRevision(), OperationId: change.GetOperationId(), Author: change.GetAuthor(), Time: change.GetTime(),
-		SourceVersion: change.GetSourceVersion(), Order: change.GetOrder(), Packed: data,
+		SourceVersion: change.GetSourceVersion(), ConfigVersion: change.GetConfigVersion(), Order: change.GetOrder(), Packed: data,
 	}, nil
 }
 
--- a/internal/oplog/sync.go
+++ b/internal/oplog/sync.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	headKey         = "head"
 	logPrefix       = "log/"
 	maxPageRows     = 500
 	maxSyncAttempts = 3
@@ -30,42 +29,42 @@
 
 func snapshotName(revision uint64) string { return fmt.Sprintf("snapshot-%020d", revision) }
 
-// Sync catches up with the platform's table; it returns *store.UnavailableError or *CorruptError.
+// Sync catches up with the platform's table; it returns *store.UnavailableError, *CorruptError or *ReestablishingError.
 func (l *Log) Sync(ctx context.Context) error {
-	_, _, err := l.sync(ctx)
+	_, err := l.sync(ctx)
 	return err
 }
 
-func (l *Log) sync(ctx context.Context) (*wirepb.Head, uint64, error) {
+func (l *Log) sync(ctx context.Context) (*headRow, error) {
 	for attempt := 1; ; attempt++ {
-		head, version, err := l.readHead(ctx)
+		before := l.State().Revision
+		row, err := l.readHead(ctx)
 		if err != nil {
-			return nil, 0, err
+			return nil, err
+		}
+		l.recordKnownRevision(row.head.GetRevision())
+		if row.isOlder(before) {
+			return nil, l.awaitEra(ctx, row)
 		}
-		l.recordKnownRevision(head.GetRevision())
-		err = l.catchUp(ctx, head)
+		err = l.catchUp(ctx, row.head)
 		// A newer snapshot replaced this one since the head was read; the head now names the newer one.
 		var missing *store.NotFoundError
 		if errors.As(err, &missing) && attempt < maxSyncAttempts {
 			continue
 		}
-		return head, version, err
-	}
-}
-
-func (l *Log) readHead(ctx context.Context) (*wirepb.Head, uint64, error) {
-	row, err := l.store.Row(ctx, headKey)
-	if err != nil {
-		return nil, 0, err
-	}
-	head := &wirepb.Head{}
-	if err := proto.Unmarshal(row.GetValue(), head); err != nil {
-		return nil, 0, &CorruptError{Name: headKey, Cause: err}
+		if err == nil {
+			l.enterEra(row.head)
+		}
+		return row, err
 	}
-	return head, row.GetVersion(), nil
 }
 
 func (l *Log) catchUp(ctx context.Context, head *wirepb.Head) error {
+	if l.isBeforeEra(head) {
+		if err := l.loadSnapshot(ctx, head.GetSnapshotRevision()); err != nil {
+			return err
+		}
+	}
 	for l.State().Revision < head.GetRevision() {
 		before := l.State().Revision
 		// A node that has nothing yet starts from the snapshot. Others replay the changes, by whose operation ids they recognise
@@ -149,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	l.ApplySnapshot(snapshot)
+	l.applySnapshot(snapshot)
 	return nil
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 	"github.com/turmericdale/turmericdale/platform"
@@ -27,7 +28,8 @@
 	keepAliveInterval     = 500 * time.Millisecond
 	keepAliveCount        = 2
 
-	operationFeed = "feed"
+	operationFeed        = "feed"
+	operationTransaction = "transaction"
 )
 
 // Counters counts the operations of a Client.
@@ -35,6 +37,9 @@
 	Reads    atomic.Uint64
 	Writes   atomic.Uint64
 	Failures atomic.Uint64
+	// MalformedEras counts responses whose era was malformed, OlderEras those that were ignored as being of an older era.
+	MalformedEras atomic.Uint64
+	OlderEras     atomic.Uint64
 }
 
 // Config configures a Client.
@@ -47,6 +52,8 @@
 	// Observe receives the name, the duration and the error of each operation but the feed, which waits for changes; nil means
 	// that nothing does.
 	Observe func(operation string, took time.Duration, err error)
+	// Logger logs changes of the store's era; nil means that nothing is logged.
+	Logger *zap.Logger
 }
 
 // Client is a client of the platform's table and object store; it is safe for concurrent use.
@@ -58,6 +65,8 @@
 	observe     func(operation string, took time.Duration, err error)
 	http        *http.Client
 	unreachable atomic.Bool
+	logger      *zap.Logger
+	eras        eraState
 }
 
 // New returns a client of the platform at the configured address.
@@ -71,6 +80,9 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(string, time.Duration, error) {}
 	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
 	transport := &http.Transport{
 		DialContext:         cfg.Dial,
 		MaxIdleConnsPerHost: maxIdleConnections,
@@ -81,6 +93,7 @@
 		timeout: cfg.Timeout,
 		observe: cfg.Observe,
 		http:    &http.Client{Transport: transport},
+		logger:  cfg.Logger,
 	}
 }
 
@@ -113,18 +126,36 @@
 
 // Transact writes all rows or none and reports whether the conditions held; it returns *UnavailableError or *UnknownOutcomeError.
 func (p *Part) Transact(ctx context.Context, transaction *wirepb.Transaction) (bool, error) {
+	committed, _, err := p.transact(ctx, transaction)
+	return committed, err
+}
+
+// TransactIn is Transact for an era of the store. In another era it returns *UnavailableError if the transaction was not sent, and
+// *UnknownOutcomeError if the store came back from an older copy meanwhile, both with *EraChangedError as cause.
+func (c *Client) TransactIn(ctx context.Context, era uint64, transaction *wirepb.Transaction) (bool, error) {
+	if have := c.Era(); have != era {
+		return false, &UnavailableError{Operation: operationTransaction, Cause: &EraChangedError{Want: era, Have: have}}
+	}
+	committed, have, err := c.Part("").transact(ctx, transaction)
+	if err == nil && have != era {
+		return false, &UnknownOutcomeError{Operation: operationTransaction, Cause: &EraChangedError{Want: era, Have: have}}
+	}
+	return committed, err
+}
+
+func (p *Part) transact(ctx context.Context, transaction *wirepb.Transaction) (bool, uint64, error) {
 	request, err := platform.TransactionRequest(p.name, transaction)
 	if err != nil {
-		return false, errors.Wrap(err, "encode transaction")
+		return false, 0, errors.Wrap(err, "encode transaction")
 	}
-	err = p.client.write(ctx, "transaction", request)
+	era, err := p.client.write(ctx, operationTransaction, request)
 	var status *StatusError
 	if errors.As(err, &status) {
 		if committed, known := platform.Committed(status.Status); known {
-			return committed, nil
+			return committed, era, nil
 		}
 	}
-	return err == nil, err
+	return err == nil, era, err
 }
 
 // Range is Range of the part without a name.
@@ -134,21 +165,32 @@
 
 // Range reads at most limit rows of the part whose keys have the prefix and follow after; it returns *UnavailableError.
 func (p *Part) Range(ctx context.Context, prefix, after string, limit int) ([]*wirepb.Row, error) {
+	rows, _, err := p.RangeEra(ctx, prefix, after, limit)
+	return rows, err
+}
+
+// RangeEra is Range that returns the store's era, too, which is the same for all rows.
+func (p *Part) RangeEra(ctx context.Context, prefix, after string, limit int) ([]*wirepb.Row, uint64, error) {
 	var found []*wirepb.Row
+	era, started := uint64(0), false
 	from := max(prefix, after)
 	for {
 		// A range includes its first key, so a page needs room for one row that was read before.
 		page, err := p.client.page(ctx, platform.RangeRequest("", p.name, from, prefixEnd(prefix), min(limit-len(found)+1, platform.MaxPageRows)))
 		if err != nil {
-			return nil, err
+			return nil, 0, err
 		}
+		if started && page.Era != era {
+			return nil, 0, &UnavailableError{Operation: "range", Cause: &EraChangedError{Want: era, Have: page.Era}}
+		}
+		era, started = page.Era, true
 		for _, r := range page.Rows {
 			if r.GetKey() != after && len(found) < limit {
 				found = append(found, r)
 			}
 		}
 		if !page.More || len(found) >= limit || len(page.Rows) == 0 {
-			return found, nil
+			return found, era, nil
 		}
 		after = page.Rows[len(page.Rows)-1].GetKey()
 		from = after
@@ -171,7 +213,7 @@
 }
 
 func (c *Client) page(ctx context.Context, request platform.StoreRequest) (*platform.Rows, error) {
-	body, err := c.read(ctx, "range", request, c.timeout)
+	body, era, err := c.read(ctx, "range", request, c.timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -179,12 +221,13 @@
 	if err != nil {
 		return nil, &UnavailableError{Operation: "range", Cause: err}
 	}
+	rows.Era = era
 	return rows, nil
 }
 
 // Feed waits, for at most wait, for rows of a table that changed after a version; it returns *HistoryExpiredError or *UnavailableError.
 func (c *Client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (*platform.Rows, error) {
-	body, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+c.timeout)
+	body, era, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+c.timeout)
 	var status *StatusError
 	if errors.As(err, &status) && platform.IsHistoryExpired(status.Status) {
 		return nil, &HistoryExpiredError{Table: table, After: after}
@@ -196,6 +239,7 @@
 	if err != nil {
 		return nil, &UnavailableError{Operation: operationFeed, Cause: err}
 	}
+	rows.Era = era
 	return rows, nil
 }
 
@@ -215,17 +259,19 @@
 
 // PutObject stores an object; it returns *UnavailableError or *UnknownOutcomeError.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	return c.write(ctx, "put object", platform.PutObjectRequest(name, data))
+	_, err := c.write(ctx, "put object", platform.PutObjectRequest(name, data))
+	return err
 }
 
 // DeleteObject removes an object; it returns *UnavailableError or *UnknownOutcomeError.
 func (c *Client) DeleteObject(ctx context.Context, name string) error {
-	return c.write(ctx, "delete object", platform.DeleteObjectRequest(name))
+	_, err := c.write(ctx, "delete object", platform.DeleteObjectRequest(name))
+	return err
 }
 
 // Object reads an object; it returns *NotFoundError or *UnavailableError.
 func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
-	data, err := c.read(ctx, "get object", platform.GetObjectRequest(name), c.timeout)
+	data, _, err := c.read(ctx, "get object", platform.GetObjectRequest(name), c.timeout)
 	var status *StatusError
 	if errors.As(err, &status) && status.Status == http.StatusNotFound {
 		return nil, &NotFoundError{Name: name}
@@ -233,64 +279,74 @@
 	return data, err
 }
 
-func (c *Client) read(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) ([]byte, error) {
+func (c *Client) read(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) ([]byte, uint64, error) {
 	c.Counters.Reads.Add(1)
-	body, _, err := c.do(ctx, operation, request, timeout)
+	answer, _, err := c.do(ctx, operation, request, timeout)
 	if err != nil {
-		return nil, &UnavailableError{Operation: operation, Cause: err}
+		return nil, answer.era, &UnavailableError{Operation: operation, Cause: err}
 	}
-	return body, nil
+	return answer.body, answer.era, nil
 }
 
-func (c *Client) write(ctx context.Context, operation string, request platform.StoreRequest) error {
+func (c *Client) write(ctx context.Context, operation string, request platform.StoreRequest) (uint64, error) {
 	c.Counters.Writes.Add(1)
-	_, mayHaveRun, err := c.do(ctx, operation, request, c.timeout)
+	answer, mayHaveRun, err := c.do(ctx, operation, request, c.timeout)
 	switch {
 	case err == nil:
-		return nil
+		return answer.era, nil
 	case mayHaveRun:
-		return &UnknownOutcomeError{Operation: operation, Cause: err}
+		return answer.era, &UnknownOutcomeError{Operation: operation, Cause: err}
 	default:
-		return &UnavailableError{Operation: operation, Cause: err}
+		return answer.era, &UnavailableError{Operation: operation, Cause: err}
 	}
 }
 
-// do sends a request and returns the response body and, with an error, whether the platform may have carried it out.
-func (c *Client) do(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) ([]byte, bool, error) {
+// answer is the body of a response and the era of the store that it names.
+type answer struct {
+	body []byte
+	era  uint64
+}
+
+// do sends a request and returns the response and, with an error, whether the platform may have carried it out.
+func (c *Client) do(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) (answer, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, c.baseURL+request.Target, bytes.NewReader(request.Body))
 	if err != nil {
-		return nil, false, errors.Wrap(err, "build platform request")
+		return answer{}, false, errors.Wrap(err, "build platform request")
 	}
 	httpRequest.Header.Set("Content-Type", "application/json")
 	started := time.Now()
-	body, mayHaveRun, err := c.send(httpRequest)
+	response, mayHaveRun, err := c.send(httpRequest)
 	c.recordResult(ctx, err)
 	if operation != operationFeed {
 		c.observe(operation, time.Since(started), err)
 	}
-	return body, mayHaveRun, err
+	return response, mayHaveRun, err
 }
 
-func (c *Client) send(request *http.Request) ([]byte, bool, error) {
+func (c *Client) send(request *http.Request) (answer, bool, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, !isDialError(err), errors.Wrap(err, "send platform request")
+		return answer{}, !isDialError(err), errors.Wrap(err, "send platform request")
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
-		return nil, true, errors.Wrap(err, "read platform response")
+		return answer{}, true, errors.Wrap(err, "read platform response")
 	}
 	if len(body) > maxResponseBytes {
-		return nil, true, &ResponseTooLargeError{Limit: maxResponseBytes}
+		return answer{}, true, &ResponseTooLargeError{Limit: maxResponseBytes}
+	}
+	era, err := c.checkEra(response)
+	if err != nil {
+		return answer{era: era}, true, err
 	}
 	if response.StatusCode/100 != 2 {
 		mayHaveRun := response.StatusCode >= http.StatusInternalServerError && !platform.IsUnavailable(response.StatusCode)
-		return nil, mayHaveRun, &StatusError{Status: response.StatusCode, Body: string(body[:min(len(body), maxErrorBodyBytes)])}
+		return answer{era: era}, mayHaveRun, &StatusError{Status: response.StatusCode, Body: string(body[:min(len(body), maxErrorBodyBytes)])}
 	}
-	return body, true, nil
+	return answer{body: body, era: era}, true, nil
 }
 
 // recordResult updates the reachability and the failure count; an operation that its caller cancelled
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -63,3 +63,23 @@
 func (e *HistoryExpiredError) Error() string {
 	return fmt.Sprintf("change history of table %q after version %d has expired", e.Table, e.After)
 }
+
+// OlderEraError says that a response came from an older era of the store than another one before, and was ignored.
+type OlderEraError struct {
+	Era    uint64
+	Newest uint64
+}
+
+func (e *OlderEraError) Error() string {
+	return fmt.Sprintf("response from era %d of the store, which is in era %d", e.Era, e.Newest)
+}
+
+// EraChangedError says that the store is in another era than an operation is meant for.
+type EraChangedError struct {
+	Want uint64
+	Have uint64
+}
+
+func (e *EraChangedError) Error() string {
+	return fmt.Sprintf("store is in era %d: operation is meant for era %d", e.Have, e.Want)
+}
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -22,7 +22,7 @@
 	return &builder{
 		next: &State{
 			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, entryCount: s.entryCount, Services: maps.Clone(s.Services),
-			MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
+			OperatorConfigNumber: s.OperatorConfigNumber, MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
 		},
 		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
 	}
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -77,7 +77,9 @@
 	Services map[string]*Service
 	// OperatorConfigVersion is the version of the operator row whose configuration the state contains, or 0.
 	OperatorConfigVersion uint64
-	Limits                Limits
+	// OperatorConfigNumber is the number that the operator gave that configuration, which increases with each one, or 0 if it is not known.
+	OperatorConfigNumber uint64
+	Limits               Limits
 	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order for a move the state contains.
 	MoveOrderVersions map[string]uint64
 
@@ -101,6 +103,7 @@
 		}
 	}
 	b.next.Revision, b.next.OperatorConfigVersion = snapshot.GetRevision(), snapshot.GetSourceVersion()
+	b.next.OperatorConfigNumber = snapshot.GetConfigVersion()
 	for _, o := range snapshot.GetOrders() {
 		b.next.MoveOrderVersions[o.GetRow()] = o.GetVersion()
 	}
@@ -118,7 +121,9 @@
 			return nil, err
 		}
 		b.next.Revision = c.GetRevision()
-		b.next.OperatorConfigVersion = max(b.next.OperatorConfigVersion, c.GetSourceVersion())
+		if c.GetSourceVersion() > b.next.OperatorConfigVersion {
+			b.next.OperatorConfigVersion, b.next.OperatorConfigNumber = c.GetSourceVersion(), c.GetConfigVersion()
+		}
 		if o := c.GetOrder(); o != nil {
 			b.next.MoveOrderVersions[o.GetRow()] = max(b.next.MoveOrderVersions[o.GetRow()], o.GetVersion())
 		}
@@ -128,7 +133,7 @@
 
 // Snapshot returns all entries of the tree, ordered by path.
 func (s *State) Snapshot() *wirepb.Snapshot {
-	snapshot := &wirepb.Snapshot{Revision: s.Revision, SourceVersion: s.OperatorConfigVersion, Entries: s.Entries("/")}
+	snapshot := &wirepb.Snapshot{Revision: s.Revision, SourceVersion: s.OperatorConfigVersion, ConfigVersion: s.OperatorConfigNumber, Entries: s.Entries("/")}
 	for row, version := range s.MoveOrderVersions {
 		snapshot.Orders = append(snapshot.Orders, &wirepb.OrderMark{Row: row, Version: version})
 	}
