--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -315,6 +315,8 @@
 	l.recordCommit()
 	replyCommitted(batch, changes)
 	newest := changes[len(changes)-1].GetRevision()
+	// The first head of the log in an era is not read before it is written.
+	l.enterEra(head.next(newest, head.head.GetSnapshotRevision()))
 	if newest-head.head.GetSnapshotRevision() < changesPerSnapshot || !l.storingSnapshot.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -58,6 +58,9 @@
 	// invalid holds the latest invalid version of a row, by its key.
 	invalid map[string]uint64
 	decoder platform.ConfigDecoder
+	// era is the store's era in which the rows were read, eraSince when this importer learned of it.
+	era      uint64
+	eraSince time.Time
 }
 
 // New returns an importer that has read nothing.
@@ -87,7 +90,7 @@
 	if i.cursor == 0 {
 		return i.readTable(ctx)
 	}
-	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, feedTimeout)
+	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, i.feedWait())
 	var expired *store.HistoryExpiredError
 	if errors.As(err, &expired) {
 		i.cfg.Logger.Info("change history expired; reading the whole operator table", zap.Uint64("after_version", i.cursor))
@@ -96,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if changed.Era != i.era {
+		return i.readTable(ctx)
+	}
 	i.applyPage(changed)
 	return nil
 }
@@ -107,6 +113,12 @@
 		if err != nil {
 			return err
 		}
+		if page.Era != i.era {
+			// Rows of pages that were read before may have come from another era.
+			i.enterEra(page.Era)
+			from, first = "", 0
+			continue
+		}
 		i.applyPage(page)
 		if first == 0 {
 			first = page.Version
@@ -147,9 +159,9 @@
 	}
 	state := i.cfg.Log.State()
 	if platform.IsConfig(row) {
-		return state.OperatorConfigVersion >= row.GetVersion()
+		return state.OperatorConfigVersion >= i.position(row)
 	}
-	return state.MoveOrderVersions[row.GetKey()] >= row.GetVersion()
+	return state.MoveOrderVersions[row.GetKey()] >= i.position(row)
 }
 
 func (i *Importer) commit(ctx context.Context, row *wirepb.Row) {
@@ -165,8 +177,9 @@
 		i.markInvalid(row, err)
 		return
 	}
-	revision, err := i.cfg.Log.Submit(ctx, row.GetKey()+"-"+strconv.FormatUint(row.GetVersion(), 10), build)
+	revision, err := i.cfg.Log.Submit(ctx, row.GetKey()+"-"+strconv.FormatUint(i.position(row), 10), build)
 	var applied *AlreadyAppliedError
+	var older *OlderConfigError
 	var invalidValue *tree.ValueError
 	var invalidPath *tree.PathError
 	switch {
@@ -174,6 +187,9 @@
 		i.cfg.Logger.Info("operator row committed", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Uint64("revision", revision),
 			zap.Duration("waited", started.Sub(i.readAt[row.GetKey()])), zap.Duration("committed_in", i.cfg.Now().Sub(started)))
 	case errors.As(err, &applied):
+	case errors.As(err, &older):
+		i.invalid[row.GetKey()] = row.GetVersion()
+		i.cfg.Logger.Info("configuration of the restored copy not applied", zap.Uint64("row_version", row.GetVersion()), zap.Error(err))
 	case platform.IsConfig(row) && (errors.As(err, &invalidValue) || errors.As(err, &invalidPath)):
 		i.markInvalid(row, err)
 	default:
@@ -217,7 +233,7 @@
 			i.cfg.OnInvalidRow()
 			i.cfg.Logger.Warn("unknown kind of route: its calls are not repeated", zap.Uint64("row_version", row.GetVersion()), zap.Error(unknown))
 		}
-		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config.Values) }, nil
+		return func(state *tree.State) (*wirepb.Change, error) { return i.configChange(state, row, config) }, nil
 	}
 	order, err := platform.DecodeMoveOrder(row)
 	if err != nil {
@@ -228,12 +244,19 @@
 }
 
 // configChange sets the entries that differ from the operator's configuration and deletes those that it no longer declares.
-func (i *Importer) configChange(state *tree.State, row *wirepb.Row, values map[string]string) (*wirepb.Change, error) {
-	if state.OperatorConfigVersion >= row.GetVersion() {
+func (i *Importer) configChange(state *tree.State, row *wirepb.Row, config *platform.Config) (*wirepb.Change, error) {
+	if state.OperatorConfigVersion >= i.position(row) {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
+	if platform.PositionEra(state.OperatorConfigVersion) < i.era && config.Number < state.OperatorConfigNumber {
+		return nil, &OlderConfigError{Number: config.Number, InForce: state.OperatorConfigNumber}
+	}
+	values := config.Values
 	change := i.newChange(state)
-	change.SourceVersion = row.GetVersion()
+	change.SourceVersion = i.position(row)
+	if i.cfg.Store.NamesEra() {
+		change.ConfigVersion = config.Number
+	}
 	upToDate := map[string]bool{}
 	for _, entry := range state.Entries("/") {
 		value, declared := values[entry.GetPath()]
@@ -283,11 +306,17 @@
 
 // orderChange declares the move that an operator row orders, with the deadline counted from the receipt of the order.
 func (i *Importer) orderChange(state *tree.State, row *wirepb.Row, order platform.MoveOrder, received time.Time) (*wirepb.Change, error) {
-	if state.MoveOrderVersions[row.GetKey()] >= row.GetVersion() {
+	if state.MoveOrderVersions[row.GetKey()] >= i.position(row) {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
+	mark := &wirepb.OrderMark{Row: row.GetKey(), Version: i.position(row)}
+	if i.isRepeated(state, order) {
+		change := i.newChange(state)
+		change.Order = mark
+		return change, nil
+	}
 	setting := &wirepb.MoveSetting{
-		Version: order.TargetVersion, Deadline: timestamppb.New(received.Add(order.Duration)), Order: order.RowVersion,
+		Version: order.TargetVersion, Deadline: timestamppb.New(received.Add(order.Duration)), Order: i.position(row),
 		AtDeadline: wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH, Watch: durationpb.New(orderWatchDuration),
 	}
 	value, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(setting)
@@ -298,7 +327,7 @@
 	if err != nil {
 		return nil, err
 	}
-	change.Author, change.Order = "operator", &wirepb.OrderMark{Row: row.GetKey(), Version: row.GetVersion()}
+	change.Author, change.Order = "operator", mark
 	return change, nil
 }
 
--- a/internal/source/import_test.go
+++ b/internal/source/import_test.go
@@ -37,7 +37,12 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{t: t, platform: emul.NewPlatform(emul.PlatformConfig{Seed: 1})}
+	return newFixtureFor(t, emul.PlatformConfig{Seed: 1})
+}
+
+func newFixtureFor(t *testing.T, cfg emul.PlatformConfig) *fixture {
+	t.Helper()
+	f := &fixture{t: t, platform: emul.NewPlatform(cfg)}
 	server := httptest.NewServer(f.platform.Handler())
 	t.Cleanup(server.CloseClientConnections)
 	f.address = netip.MustParseAddrPort(server.Listener.Addr().String())
