--- a/internal/claim/registry.go
+++ b/internal/claim/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
@@ -49,15 +50,25 @@
 type Config struct {
 	Store *store.Client
 	Now   func() time.Time
+	// Logger logs keys that are written again; nil means that nothing is logged.
+	Logger *zap.Logger
 }
 
 // Registry records idempotency keys and recognises them for one to two days.
 type Registry struct {
-	cfg Config
+	cfg    Config
+	recent recentClaims
 }
 
-// New returns a registry.
-func New(cfg Config) *Registry { return &Registry{cfg: cfg} }
+// New returns a registry, which writes its newest keys again when the store comes back from an older copy.
+func New(cfg Config) *Registry {
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	r := &Registry{cfg: cfg, recent: recentClaims{claims: map[string]recentClaim{}}}
+	cfg.Store.OnEra(r.enterEra)
+	return r
+}
 
 // Claim is a recorded key.
 type Claim struct {
@@ -80,7 +91,19 @@
 		Conditions: []*wirepb.Condition{{Key: c.key}, {Key: rowKey(now.Add(-day), keyHash)}, {Key: rowKey(now.Add(day), keyHash)}},
 		Puts:       []*wirepb.Row{{Key: c.key, Value: value}},
 	}
-	return c, r.recordKey(ctx, c, transaction)
+	if err := r.checkEra(); err != nil {
+		return c, &UnrecordedError{Cause: err}
+	}
+	if err := r.recordKey(ctx, c, transaction); err != nil {
+		return c, err
+	}
+	// The store may have come back from an older copy meanwhile, without the key of a call that has run elsewhere.
+	if err := r.checkEra(); err != nil {
+		go c.Release()
+		return c, &UnrecordedError{Cause: err}
+	}
+	r.remember(c.key, value, now)
+	return c, nil
 }
 
 // recordKey runs the transaction that records a key, and repeats it while its outcome is unknown. If its conditions then
@@ -120,6 +143,7 @@
 
 // Release deletes the key of a call that has certainly not run, so that the caller can send the call again.
 func (c *Claim) Release() {
+	c.registry.forget(c.key)
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	row, err := c.registry.cfg.Store.Row(ctx, c.key)
--- a/internal/claim/registry_test.go
+++ b/internal/claim/registry_test.go
@@ -19,17 +19,33 @@
 
 func newRegistries(t *testing.T, clocks ...time.Time) (*emul.Platform, []*Registry) {
 	t.Helper()
-	platform := emul.NewPlatform(emul.PlatformConfig{Seed: 3})
-	server := httptest.NewServer(platform.Handler())
-	t.Cleanup(server.Close)
-	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	registries := make([]*Registry, 0, len(clocks))
+	var registries []*Registry
+	platform, address := startPlatform(t, emul.PlatformConfig{Seed: 3})
 	for _, clock := range clocks {
 		registries = append(registries, New(Config{Store: store.New(store.Config{Address: address}), Now: func() time.Time { return clock }}))
 	}
 	return platform, registries
 }
 
+// newRegistriesFor returns registries with one clock and clients of their own.
+func newRegistriesFor(t *testing.T, cfg emul.PlatformConfig, now func() time.Time, count int) (*emul.Platform, []*Registry) {
+	t.Helper()
+	var registries []*Registry
+	platform, address := startPlatform(t, cfg)
+	for range count {
+		registries = append(registries, New(Config{Store: store.New(store.Config{Address: address}), Now: now}))
+	}
+	return platform, registries
+}
+
+func startPlatform(t *testing.T, cfg emul.PlatformConfig) (*emul.Platform, netip.AddrPort) {
+	t.Helper()
+	platform := emul.NewPlatform(cfg)
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	return platform, netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
 func requireDuplicate(t *testing.T, r *Registry, key string) {
 	t.Helper()
 	_, err := r.Acquire(t.Context(), "team", "route", key, "other")
--- a/internal/depart/ledger.go
+++ b/internal/depart/ledger.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,10 +48,18 @@
 // Ledger holds the departures of one node's upstreams in the platform's table.
 type Ledger struct {
 	cfg Config
+
+	mu sync.Mutex
+	// recent holds the departures that were recorded lately, by key.
+	recent map[string]*recentDeparture
 }
 
-// New returns a ledger.
-func New(cfg Config) *Ledger { return &Ledger{cfg: cfg} }
+// New returns a ledger, which writes its newest departures again when the store comes back from an older copy.
+func New(cfg Config) *Ledger {
+	l := &Ledger{cfg: cfg, recent: map[string]*recentDeparture{}}
+	cfg.Store.OnEra(l.enterEra)
+	return l
+}
 
 // Record writes a departure. It returns when the row is written or after recordTimeout, and then goes on trying in the background.
 func (l *Ledger) Record(departure *wirepb.Departure) {
@@ -77,6 +86,7 @@
 	part := l.cfg.Store.Part(partName(partOf(l.cfg.Node)))
 	for started := l.cfg.Now(); ; {
 		if _, err = part.Transact(context.Background(), put); err == nil {
+			l.remember(put.GetPuts()[0])
 			return
 		}
 		if l.cfg.Now().Sub(started) >= retryTimeout {
--- a/internal/depart/ledger_test.go
+++ b/internal/depart/ledger_test.go
@@ -28,7 +28,12 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	platform := emul.NewPlatform(emul.PlatformConfig{Seed: 1})
+	return newFixtureFor(t, emul.PlatformConfig{Seed: 1})
+}
+
+func newFixtureFor(t *testing.T, cfg emul.PlatformConfig) *fixture {
+	t.Helper()
+	platform := emul.NewPlatform(cfg)
 	server := httptest.NewServer(platform.Handler())
 	t.Cleanup(server.Close)
 	client := store.New(store.Config{Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -67,7 +67,7 @@
 
 func newStore(s *conf.Settings, logger *zap.Logger, metrics *meter.Metrics) *store.Client {
 	limiter := rate.NewLimiter(slowOperationsLogged, slowOperationsLogged)
-	return store.New(store.Config{Address: s.PlatformAddress, Observe: func(operation string, took time.Duration, err error) {
+	return store.New(store.Config{Address: s.PlatformAddress, Logger: logger, Observe: func(operation string, took time.Duration, err error) {
 		metrics.ObservePlatform(operation, took)
 		if took >= slowOperationThreshold && limiter.Allow() {
 			logger.Info("slow platform operation", zap.String("operation", operation), zap.Duration("took", took), zap.Error(err))
@@ -75,8 +75,13 @@
 	}})
 }
 
-func newLog(s *conf.Settings, client *store.Client, logger *zap.Logger, now clock, metrics *meter.Metrics) *oplog.Log {
-	cfg := oplog.Config{Store: client, Logger: logger, Now: now, OnApplied: metrics.ObserveChangeAge}
+func newLog(s *conf.Settings, client *store.Client, logger *zap.Logger, now clock, metrics *meter.Metrics, claims *claim.Registry,
+	departures *depart.Ledger,
+) *oplog.Log {
+	cfg := oplog.Config{
+		Store: client, Logger: logger, Now: now, OnApplied: metrics.ObserveChangeAge,
+		WatchesEras: func() bool { return claims.HasRecent() || departures.HasRecent() },
+	}
 	if s.OperatorRows {
 		cfg.ExportRows = source.StatusRows
 	}
@@ -195,8 +200,8 @@
 	return egress.New(egress.Config{BitsPerSecond: s.LinkBitsPerSecond, Now: now})
 }
 
-func newClaims(client *store.Client, now clock) *claim.Registry {
-	return claim.New(claim.Config{Store: client, Now: now})
+func newClaims(client *store.Client, now clock, logger *zap.Logger) *claim.Registry {
+	return claim.New(claim.Config{Store: client, Now: now, Logger: logger})
 }
 
 func newProxy(s *conf.Settings, logger *zap.Logger, now clock, log *oplog.Log, verdicts *move.Verdicts, picker *route.Picker, pool *peer.Pool,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -31,7 +31,7 @@
 		Relay: n.hub.IsRelay(), Links: uint32(n.hub.LinkCount()), PlatformUp: n.store.IsReachable(),
 		Upstreams: n.localRegistry.Status(), Members: uint32(n.members.LiveCount()),
 		SubtreeNodes: subtree.Nodes, SubtreeOldestRevision: subtree.OldestRevision, SubtreeRefusals: subtree.Refusals,
-		Life: n.members.Record(n.settings.Name).GetLife(),
+		Life: n.members.Record(n.settings.Name).GetLife(), StoreEra: n.store.Era(),
 	}
 	if invalid := n.log.InvalidRevision(); invalid != nil {
 		status.RefusedReason = invalid.Reason
@@ -102,6 +102,11 @@
 	m.RegisterCounter("platform_reads_total", "Reads of the platform.", nil, func() float64 { return float64(n.store.Counters.Reads.Load()) })
 	m.RegisterCounter("platform_writes_total", "Writes to the platform.", nil, func() float64 { return float64(n.store.Counters.Writes.Load()) })
 	m.RegisterCounter("platform_failures_total", "Operations that did not reach the platform.", nil, func() float64 { return float64(n.store.Counters.Failures.Load()) })
+	m.RegisterGauge("store_era", "Era of the platform's store, which increases when it comes back from an older copy.", func() float64 { return float64(n.store.Era()) })
+	m.RegisterCounter("store_era_malformed_total", "Responses of the platform's store with a malformed era.", nil, func() float64 { return float64(n.store.Counters.MalformedEras.Load()) })
+	m.RegisterCounter("store_era_older_total", "Responses of an older era of the platform's store, which were ignored.", nil, func() float64 { return float64(n.store.Counters.OlderEras.Load()) })
+	m.RegisterCounter("changes_submitted_again_total", "Changes that a new era of the platform's store lacked and that were submitted again.", nil, func() float64 { return float64(n.log.Counters.SubmittedAgain.Load()) })
+	m.RegisterCounter("changes_dropped_total", "Changes that a new era of the platform's store lacked and that were dropped.", nil, func() float64 { return float64(n.log.Counters.Dropped.Load()) })
 	m.RegisterCounter("peer_refused_total", "Sessions and streams of nodes refused for their form.", nil, func() float64 { return float64(n.peerServer.Rejected.Load()) })
 	for kind, name := range relay.FrameKindNames {
 		labels := map[string]string{"kind": name}
--- a/internal/oplog/era.go
+++ b/internal/oplog/era.go
@@ -417,12 +417,14 @@
 		switch {
 		case err == nil:
 			resubmitted[next] = true
+			l.Counters.SubmittedAgain.Add(1)
 			l.logger.Info("lost change submitted again", operation, revision, zap.Uint64("new_revision", next))
 		case ctx.Err() == nil && (errors.As(err, &unavailable) || errors.As(err, &unknown) || errors.As(err, &reestablishing)):
 			l.era.mu.Lock()
 			l.era.lost = append(l.era.lost, c)
 			l.era.mu.Unlock()
 		default:
+			l.Counters.Dropped.Add(1)
 			l.logger.Warn("lost change dropped", operation, revision, zap.Error(err))
 		}
 	}
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -46,8 +46,16 @@
 	Reason   string
 }
 
+// Counters counts what a Log did about changes that the store lost when it came back from an older copy.
+type Counters struct {
+	SubmittedAgain atomic.Uint64
+	Dropped        atomic.Uint64
+}
+
 // Log is a node's copy of the ordered log of changes; its revision never decreases.
 type Log struct {
+	Counters Counters
+
 	store      *store.Client
 	logger     *zap.Logger
 	now        func() time.Time
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -83,6 +83,12 @@
 	leaving  bool
 	// leases holds the relay leases as last read, by key.
 	leases map[string]*observedLease
+	// leasesEra is the store's era in which the leases were read last, heldSlot the slot that this node held and heldEra the era in which it
+	// did; rowsEra is the era in which the rows of the nodes were last made complete.
+	leasesEra uint64
+	heldSlot  string
+	heldEra   uint64
+	rowsEra   uint64
 	// dials holds the addresses that are being dialled, are linked or wait for their next attempt.
 	dials          map[netip.AddrPort]*dialState
 	knownAddresses []netip.AddrPort
@@ -114,7 +120,7 @@
 
 // New returns a hub without links.
 func New(cfg Config) *Hub {
-	return &Hub{
+	h := &Hub{
 		cfg:              cfg,
 		handshakeLimiter: rate.NewLimiter(handshakesPerSecond, handshakeBurst),
 		links:            map[string]*link{},
@@ -125,6 +131,11 @@
 		dialWake:         make(chan struct{}, 1),
 		inviteWake:       make(chan struct{}, 1),
 	}
+	if cfg.Store != nil {
+		// A store that comes back from an older copy lacks the newest leases and rows.
+		cfg.Store.OnEra(func(uint64) { h.requestPoll() })
+	}
+	return h
 }
 
 // Run maintains links and leases until the context ends and waits for all links to close.
--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -45,19 +45,31 @@
 	if !h.IsRelay() {
 		return
 	}
-	if round%pollsPerRowRead == 0 && !h.readNodeRows(ctx) || !h.writesNodeRows() || round > startupPolls && round%pollsPerRowRead != 0 {
+	era, reads := h.cfg.Store.Era(), round%pollsPerRowRead == 0
+	if reads && !h.readNodeRows(ctx) {
 		return
 	}
+	if writes := h.writesNodeRows() && (round <= startupPolls || reads); writes && !h.writeMissingRows(ctx) {
+		return
+	}
+	if reads {
+		h.recordRows(era)
+	}
+}
+
+// writeMissingRows adds the nodes that lack a row and reports whether it could.
+func (h *Hub) writeMissingRows(ctx context.Context) bool {
 	missing := h.missingNodeRows()
 	for len(missing) > 0 {
 		part := missing[:min(len(missing), maxRowWrites)]
 		missing = missing[len(part):]
 		if _, err := h.nodeRowPart().Transact(ctx, &wirepb.Transaction{Puts: part}); err != nil {
 			h.cfg.Logger.Info("could not write node rows", zap.Int("rows", len(part)), zap.Error(err))
-			return
+			return false
 		}
 		h.rememberNodeRows(part)
 	}
+	return true
 }
 
 // writesNodeRows reports whether this relay holds the first slot, or the relay that does is not running.
--- a/internal/relay/lateness_test.go
+++ b/internal/relay/lateness_test.go
@@ -42,10 +42,11 @@
 
 // virtualDeployment runs the nodes of two data centres on a network in memory and in virtual time.
 type virtualDeployment struct {
-	t       *testing.T
-	network *emul.Network
-	dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	nodes   []*virtualNode
+	t        *testing.T
+	network  *emul.Network
+	platform *emul.Platform
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	nodes    []*virtualNode
 
 	// mu guards the fields of the nodes that change.
 	mu sync.Mutex
@@ -67,14 +68,20 @@
 
 // runVirtual runs a test on a deployment that has settled.
 func runVirtual(t *testing.T, test func(d *virtualDeployment)) {
+	t.Helper()
+	runVirtualOn(t, emul.PlatformConfig{PartTransactionsPerSecond: 150}, nodesPerDataCentre, test)
+}
+
+// runVirtualOn is runVirtual for a platform and for a number of nodes in the larger data centre.
+func runVirtualOn(t *testing.T, cfg emul.PlatformConfig, nodes int, test func(d *virtualDeployment)) {
 	t.Helper()
 	dropTimers()
 	defer dropTimers()
 	synctest.Test(t, func(t *testing.T) {
-		platform := emul.NewPlatform(emul.PlatformConfig{PartTransactionsPerSecond: 150})
+		platform := emul.NewPlatform(cfg)
 		platform.SetFaults(emul.PlatformFaults{Delay: platformDelay})
 		dial, stop := platform.ServeInMemory()
-		d := &virtualDeployment{t: t, network: emul.NewNetwork(), dial: dial}
+		d := &virtualDeployment{t: t, network: emul.NewNetwork(), platform: platform, dial: dial}
 		defer func() {
 			for _, n := range d.nodes {
 				n.stop()
@@ -84,7 +91,7 @@
 			time.Sleep(settleDuration)
 		}()
 		d.start("other", 2)
-		d.start("dc", nodesPerDataCentre)
+		d.start("dc", nodes)
 		time.Sleep(settleDuration)
 		test(d)
 	})
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -38,6 +38,7 @@
 type observedLease struct {
 	key       string
 	version   uint64
+	era       uint64
 	lease     *wirepb.RelayLease
 	changedAt time.Time
 	// void means that the holder did not run, or not as a relay, when it was dialled.
@@ -122,7 +123,7 @@
 	}
 	acquired := false
 	switch key, free := h.acquirableSlot(); {
-	case h.IsRelay() && round%pollsPerRenewal == 0:
+	case h.IsRelay() && (round%pollsPerRenewal == 0 || h.lostSlot() != ""):
 		h.renewLease(ctx)
 	case !h.IsRelay() && free:
 		acquired = h.contendForLease(ctx, key)
@@ -130,7 +131,7 @@
 		h.clearPromotion()
 	}
 	rowsRound := round
-	if acquired {
+	if acquired || h.rowsAreFromEarlierEra() {
 		rowsRound = 0
 	}
 	var rowsUpdated sync.WaitGroup
@@ -150,16 +151,17 @@
 }
 
 func (h *Hub) readLeases(ctx context.Context) error {
-	rows, err := h.cfg.Store.Range(ctx, leasePrefix, "", maxLeases)
+	rows, era, err := h.cfg.Store.Part("").RangeEra(ctx, leasePrefix, "", maxLeases)
 	if err != nil {
 		return err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	seen := map[string]bool{}
+	h.leasesEra = era
 	for _, row := range rows {
 		seen[row.GetKey()] = true
-		h.observeLease(row)
+		h.observeLease(row, era)
 	}
 	for key := range h.leases {
 		if !seen[key] {
@@ -169,9 +171,10 @@
 	return nil
 }
 
-func (h *Hub) observeLease(row *wirepb.Row) {
+// observeLease records a lease. Versions are assigned again in a new era of the store.
+func (h *Hub) observeLease(row *wirepb.Row, era uint64) {
 	known := h.leases[row.GetKey()]
-	if known != nil && known.version == row.GetVersion() {
+	if known != nil && known.version == row.GetVersion() && known.era == era {
 		return
 	}
 	lease := &wirepb.RelayLease{}
@@ -181,7 +184,10 @@
 	if address, err := netip.ParseAddrPort(lease.GetPeerAddress()); err == nil {
 		h.cfg.Pool.SetWAN(address, lease.GetDataCentre() != h.cfg.DataCentre)
 	}
-	h.leases[row.GetKey()] = &observedLease{key: row.GetKey(), version: row.GetVersion(), lease: lease, changedAt: h.cfg.Now()}
+	h.leases[row.GetKey()] = &observedLease{key: row.GetKey(), version: row.GetVersion(), era: era, lease: lease, changedAt: h.cfg.Now()}
+	if h.relay && lease.GetNode() == h.cfg.Node {
+		h.heldSlot, h.heldEra = row.GetKey(), era
+	}
 }
 
 func (h *Hub) isInForce(o *observedLease) bool {
@@ -294,6 +300,9 @@
 // renewLease renews this node's lease, or ends its role as a relay if another node has taken the lease over.
 func (h *Hub) renewLease(ctx context.Context) {
 	held := h.ownLease()
+	if slot := h.lostSlot(); slot != "" && h.rewriteLease(ctx, slot) {
+		return
+	}
 	if held == nil {
 		h.setRelay(false)
 		h.cfg.Logger.Info("relay lease lost")
@@ -331,6 +340,12 @@
 		h.currentAt = h.cfg.Now()
 	}
 	h.relay, h.promoted = relay, false
+	h.heldSlot, h.heldEra = "", 0
+	for _, o := range h.leases {
+		if relay && o.lease.GetNode() == h.cfg.Node {
+			h.heldSlot, h.heldEra = o.key, o.era
+		}
+	}
 	for _, l := range h.links {
 		// Which nodes this node dials depends on its role, so the links that it dialled are closed and replaced.
 		if l.dialled {
