--- a/internal/oplog/commit.go
+++ b/internal/oplog/commit.go
@@ -127,6 +127,10 @@
 			replyCommitted(batch, unresolved)
 			return
 		}
+		if err := l.loadEarlierOperations(ctx, row.head); err != nil {
+			replyAll(batch, 0, err)
+			return
+		}
 		var changes []*wirepb.Change
 		batch, changes = l.buildChanges(batch)
 		if len(batch) == 0 {
--- a/internal/oplog/era.go
+++ b/internal/oplog/era.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,8 +23,8 @@
 	// eraGap is left above the highest known revision when the log is established in a new era, for changes that this node does not know.
 	eraGap = 1024
 	// eraSpread is the range of a random addition to the gap, so that nodes that establish the log at once store their snapshots under
-	// different names.
-	eraSpread = 1024
+	// different names. Two of 20 nodes choose the same one with a probability of 0.02%.
+	eraSpread = 1 << 20
 	// establishDelay is how long links get to bring the newest revision to this node. Large changes are sent between data centres 0.6 s
 	// late.
 	establishDelay = time.Second
@@ -39,14 +40,23 @@
 	maxRewrittenStatuses = 48
 	// maxReplacedChanges is the number of changes before a new era that are remembered; a drill loses those of some seconds.
 	maxReplacedChanges = 256
+	// keptDuration is how long changes of earlier eras are remembered for yet another era.
+	keptDuration = time.Minute
 	// ownCommitDuration is how long a node that committed a change checks that the log still has it when a snapshot of a new era arrives.
 	ownCommitDuration = time.Minute
 	// cleanUpDelay is the pause between two deletions of rows of earlier eras.
 	cleanUpDelay = 50 * time.Millisecond
-	// rowsKeptOfEarlierEras is the number of rows before a new era that are kept for the history of paths.
+	// rowsKeptOfEarlierEras is the least number of rows before a new era that are kept, for the history of paths and for operations that are
+	// repeated.
 	rowsKeptOfEarlierEras = 100
 )
 
+// keptChange is a change of an earlier era, and when the log of a later one had it.
+type keptChange struct {
+	change *wirepb.Change
+	at     time.Time
+}
+
 // eraState is what a log knows of the eras of the store.
 type eraState struct {
 	wake      chan struct{}
@@ -68,11 +78,15 @@
 	// replaced holds the changes that a snapshot of a new era replaced and whose fate is not known yet, included the operations among them
 	// that the log still has.
 	replaced []*wirepb.Change
+	// kept holds the changes that the log of an era had from earlier ones, oldest first: the store may come back from an older copy still.
+	kept     []keptChange
 	included map[string]uint64
 	// lost holds the changes that the log no longer has.
 	lost []*wirepb.Change
-	// base is the revision of the earlier era that the newest era took over.
-	base uint64
+	// resubmitted holds the revisions that lost changes got when they were submitted again: later ones of them may replace what earlier ones put.
+	resubmitted map[uint64]bool
+	// operations is the newest era whose earlier operations were read.
+	operations uint64
 	// readDue says that a link brought a snapshot of a new era and that the head is to be read.
 	readDue bool
 }
@@ -157,7 +171,7 @@
 		case l.takeReadDue():
 			l.readEra(ctx)
 		default:
-			lost := l.takeLost()
+			lost := l.lostChanges()
 			if len(lost) == 0 {
 				return
 			}
@@ -215,8 +229,7 @@
 	}
 	committed, err := l.store.TransactIn(ctx, row.era, transaction)
 	if err == nil && !committed {
-		// Another node came first; no head names this snapshot.
-		return l.store.DeleteObject(ctx, snapshotName(snapshot.GetRevision()))
+		return l.deleteUnnamedSnapshot(ctx, snapshot.GetRevision())
 	}
 	if err != nil {
 		return err
@@ -224,7 +237,8 @@
 	l.logger.Info("log established in a new era of the store", zap.Uint64("era", row.era), zap.Uint64("revision", snapshot.GetRevision()),
 		zap.Uint64("base_revision", state.Revision), zap.Uint64("restored_revision", row.head.GetRevision()))
 	l.applySnapshot(snapshot)
-	l.enterEraFrom(&wirepb.Head{Era: row.era, Revision: snapshot.GetRevision(), BaseRevision: state.Revision}, state.Revision)
+	// An earlier snapshot may have replaced changes that this state lacks, although their revisions are lower.
+	l.enterEraFrom(&wirepb.Head{Era: row.era, Revision: snapshot.GetRevision(), BaseRevision: state.Revision}, 0)
 	l.tasks.Go(func() { l.deleteEarlierEras(ctx, row.head.GetSnapshotRevision(), state.Revision) })
 	return nil
 }
@@ -297,28 +311,36 @@
 	return change
 }
 
-// deleteEarlierEras deletes the snapshot and the rows that the first snapshot of an era replaces, in the background.
-func (l *Log) deleteEarlierEras(ctx context.Context, snapshotRevision, baseRevision uint64) {
-	if baseRevision <= rowsKeptOfEarlierEras {
-		return
+// deleteUnnamedSnapshot deletes the snapshot of a node that another one preceded, unless the other one chose the same revision.
+func (l *Log) deleteUnnamedSnapshot(ctx context.Context, revision uint64) error {
+	row, err := l.readHead(ctx)
+	if err != nil || row.head.GetSnapshotRevision() == revision {
+		return err
 	}
-	for ctx.Err() == nil {
-		rows, err := l.store.Range(ctx, logPrefix, "", platform.MaxTransactionEntries)
+	return l.store.DeleteObject(ctx, snapshotName(revision))
+}
+
+// deleteEarlierEras deletes the snapshot and the rows that the first snapshot of an era replaces, except the newest rows, in the background.
+func (l *Log) deleteEarlierEras(ctx context.Context, snapshotRevision, baseRevision uint64) {
+	var previous []string
+	for after := logPrefix; ctx.Err() == nil; {
+		rows, err := l.store.Range(ctx, logPrefix, after, rowsKeptOfEarlierEras)
 		if err != nil {
 			return
 		}
 		var keys []string
 		for _, r := range rows {
-			if r.GetKey() <= logKey(baseRevision-rowsKeptOfEarlierEras) {
+			if r.GetKey() <= logKey(baseRevision) {
 				keys = append(keys, r.GetKey())
 			}
 		}
-		if len(keys) == 0 {
+		if len(keys) < rowsKeptOfEarlierEras {
 			break
 		}
-		if err := l.deleteRows(ctx, keys); err != nil {
+		if err := l.deleteRows(ctx, previous); err != nil {
 			return
 		}
+		previous, after = keys, keys[len(keys)-1]
 		sleep(ctx, cleanUpDelay)
 	}
 	if snapshotRevision > 0 {
@@ -326,6 +348,41 @@
 	}
 }
 
+// loadEarlierOperations reads, once in an era, which operations the log has from earlier eras: their changes are not among the recent ones
+// of a node that got a snapshot instead.
+func (l *Log) loadEarlierOperations(ctx context.Context, head *wirepb.Head) error {
+	l.era.mu.Lock()
+	isLoaded := l.era.operations >= head.GetEra()
+	l.era.mu.Unlock()
+	if isLoaded {
+		return nil
+	}
+	operations := map[string]uint64{}
+	for after, base := logPrefix, logKey(head.GetBaseRevision()); after < base; {
+		rows, err := l.store.Range(ctx, logPrefix, after, maxPageRows)
+		if err != nil {
+			return err
+		}
+		if len(rows) == 0 {
+			break
+		}
+		for _, r := range rows {
+			change := &wirepb.Change{}
+			if r.GetKey() <= base && proto.Unmarshal(r.GetValue(), change) == nil {
+				operations[change.GetOperationId()] = change.GetRevision()
+			}
+		}
+		after = rows[len(rows)-1].GetKey()
+	}
+	l.era.mu.Lock()
+	defer l.era.mu.Unlock()
+	for id, revision := range l.era.included {
+		operations[id] = revision
+	}
+	l.era.included, l.era.operations = operations, head.GetEra()
+	return nil
+}
+
 // isBeforeEra reports whether a head belongs to a newer era than this node's changes, which a snapshot has to replace.
 func (l *Log) isBeforeEra(head *wirepb.Head) bool {
 	l.era.mu.Lock()
@@ -347,7 +404,7 @@
 	l.enterEraFrom(head, base)
 }
 
-// enterEraFrom is enterEra for a log that surely has the changes up to a base revision.
+// enterEraFrom is enterEra for a log that surely has the changes up to a base revision that this node had.
 func (l *Log) enterEraFrom(head *wirepb.Head, base uint64) {
 	l.era.mu.Lock()
 	defer l.era.mu.Unlock()
@@ -357,21 +414,40 @@
 	if head.GetEra() <= l.era.head {
 		return
 	}
-	l.era.head, l.era.base, l.era.establishedAt = head.GetEra(), head.GetBaseRevision(), l.now()
+	l.era.head, l.era.establishedAt = head.GetEra(), l.now()
 	l.era.included = map[string]uint64{}
-	for i, c := range l.era.replaced {
-		if c.GetRevision() > base && isMissing(l.State(), c, l.era.replaced[i+1:]) {
+	candidates, now := l.keptChanges(), l.now()
+	kept := len(candidates)
+	candidates = append(candidates, l.era.replaced...)
+	l.era.replaced, l.era.kept = nil, l.era.kept[len(l.era.kept)-kept:]
+	for i, c := range candidates {
+		isSure := i >= kept && c.GetRevision() <= base
+		if !isSure && isMissing(l.State(), c, candidates[i+1:]) {
 			l.era.lost = append(l.era.lost, c)
-		} else {
-			l.era.included[c.GetOperationId()] = c.GetRevision()
+			continue
+		}
+		l.era.included[c.GetOperationId()] = c.GetRevision()
+		if i >= kept {
+			l.era.kept = append(l.era.kept, keptChange{change: c, at: now})
 		}
 	}
-	l.era.replaced = nil
+	l.era.kept = l.era.kept[max(0, len(l.era.kept)-maxReplacedChanges):]
 	if len(l.era.lost) > 0 {
 		l.wakeFollower()
 	}
 }
 
+// keptChanges returns the changes of earlier eras that a store which comes back from a still older copy may lose. l.era.mu must be held.
+func (l *Log) keptChanges() []*wirepb.Change {
+	var list []*wirepb.Change
+	for _, k := range l.era.kept {
+		if l.now().Sub(k.at) < keptDuration {
+			list = append(list, k.change)
+		}
+	}
+	return list
+}
+
 // isMissing reports whether a state does not hold what a change put and later changes did not replace: an entry keeps the revision of the
 // change that set it.
 func isMissing(state *tree.State, change *wirepb.Change, later []*wirepb.Change) bool {
@@ -387,54 +463,76 @@
 	return false
 }
 
-func (l *Log) takeLost() []*wirepb.Change {
+func (l *Log) lostChanges() []*wirepb.Change {
+	l.era.mu.Lock()
+	defer l.era.mu.Unlock()
+	return slices.Clone(l.era.lost)
+}
+
+func (l *Log) forgetLost(change *wirepb.Change) {
 	l.era.mu.Lock()
 	defer l.era.mu.Unlock()
-	lost := l.era.lost
-	l.era.lost = nil
-	return lost
+	l.era.lost = slices.DeleteFunc(l.era.lost, func(c *wirepb.Change) bool { return c == change })
 }
 
 // submitLost submits changes again that were accepted in an earlier era and that the log no longer has.
 func (l *Log) submitLost(ctx context.Context, lost []*wirepb.Change) {
-	// resubmitted holds the revisions that the changes got now: later ones of them may replace what earlier ones put.
-	resubmitted := map[uint64]bool{}
 	for _, c := range lost {
 		operation, revision := zap.String("operation", c.GetOperationId()), zap.Uint64("revision", c.GetRevision())
 		if c.GetSourceVersion() > 0 || c.GetOrder() != nil {
+			l.forgetLost(c)
 			l.logger.Info("lost change left to the importer", operation, revision)
 			continue
 		}
 		next, err := l.Submit(ctx, c.GetOperationId(), func(state *tree.State) (*wirepb.Change, error) {
-			if err := l.checkUnchanged(state, c, resubmitted); err != nil {
+			if err := l.checkUnchanged(state, c); err != nil {
 				return nil, err
 			}
 			return &wirepb.Change{Revision: state.Revision + 1, Author: c.GetAuthor(), Time: c.GetTime(), Puts: c.GetPuts()}, nil
 		})
-		var unavailable *store.UnavailableError
-		var unknown *UnknownOutcomeError
-		var reestablishing *ReestablishingError
 		switch {
 		case err == nil:
-			resubmitted[next] = true
+			l.recordResubmitted(c, next)
 			l.Counters.SubmittedAgain.Add(1)
 			l.logger.Info("lost change submitted again", operation, revision, zap.Uint64("new_revision", next))
-		case ctx.Err() == nil && (errors.As(err, &unavailable) || errors.As(err, &unknown) || errors.As(err, &reestablishing)):
-			l.era.mu.Lock()
-			l.era.lost = append(l.era.lost, c)
-			l.era.mu.Unlock()
+		case ctx.Err() != nil || isPassing(err):
+			// Later changes may replace what this one put: they wait for it.
+			l.logger.Info("could not submit lost change again; will retry", operation, revision, zap.Error(err))
+			sleep(ctx, l.withJitter(establishRetryDelay))
+			return
 		default:
+			l.forgetLost(c)
 			l.Counters.Dropped.Add(1)
 			l.logger.Warn("lost change dropped", operation, revision, zap.Error(err))
 		}
 	}
 }
 
+// isPassing reports whether a change that failed with an error may succeed later.
+func isPassing(err error) bool {
+	var unavailable *store.UnavailableError
+	var storeUnknown *store.UnknownOutcomeError
+	var unknown *UnknownOutcomeError
+	var reestablishing *ReestablishingError
+	var queueFull *QueueFullError
+	var contention *ContentionError
+	var stopped *StoppedError
+	return errors.As(err, &unavailable) || errors.As(err, &storeUnknown) || errors.As(err, &unknown) || errors.As(err, &reestablishing) ||
+		errors.As(err, &queueFull) || errors.As(err, &contention) || errors.As(err, &stopped)
+}
+
+func (l *Log) recordResubmitted(change *wirepb.Change, revision uint64) {
+	l.forgetLost(change)
+	l.era.mu.Lock()
+	defer l.era.mu.Unlock()
+	l.era.resubmitted[revision] = true
+}
+
 // checkUnchanged returns *SupersededError if a path of a lost change was changed since by another change than those that were submitted
 // again.
-func (l *Log) checkUnchanged(state *tree.State, change *wirepb.Change, resubmitted map[uint64]bool) error {
+func (l *Log) checkUnchanged(state *tree.State, change *wirepb.Change) error {
 	l.era.mu.Lock()
-	base := max(l.era.base, change.GetRevision())
+	base, resubmitted := change.GetRevision(), maps.Clone(l.era.resubmitted)
 	l.era.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -125,7 +125,7 @@
 		changed:     make(chan struct{}),
 		watchesEras: cfg.WatchesEras,
 	}
-	l.era.wake, l.era.started = make(chan struct{}, 1), cfg.Now()
+	l.era.wake, l.era.started, l.era.resubmitted = make(chan struct{}, 1), cfg.Now(), map[uint64]bool{}
 	l.state.Store(tree.EmptyState())
 	return l
 }
--- a/internal/oplog/sync.go
+++ b/internal/oplog/sync.go
@@ -94,12 +94,24 @@
 	if err != nil {
 		return err
 	}
-	if l.ApplyChanges(changes, Origin{ReceivedAt: received}) {
+	// A new era of the store leaves a gap of revisions, which its first snapshot spans.
+	consecutive := consecutiveChanges(changes)
+	if l.ApplyChanges(consecutive, Origin{ReceivedAt: received}) || len(consecutive) < len(changes) {
 		return l.loadSnapshot(ctx, head.GetSnapshotRevision())
 	}
 	return nil
 }
 
+// consecutiveChanges returns the changes before the first gap of revisions.
+func consecutiveChanges(changes []*wirepb.Change) []*wirepb.Change {
+	for i := 1; i < len(changes); i++ {
+		if changes[i].GetRevision() != changes[i-1].GetRevision()+1 {
+			return changes[:i]
+		}
+	}
+	return changes
+}
+
 func (l *Log) decodeChanges(ctx context.Context, rows []*wirepb.Row) ([]*wirepb.Change, error) {
 	changes := make([]*wirepb.Change, 0, len(rows))
 	group, ctx := errgroup.WithContext(ctx)
