--- a/test/proof/deploy_test.go
+++ b/test/proof/deploy_test.go
@@ -92,10 +92,15 @@
 
 // newDeployment writes the settings of a deployment without starting its processes.
 func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	return newDeploymentOn(t, emul.PlatformConfig{Seed: 1, WritesPerSecond: 300, ReadsPerSecond: 2000})
+}
+
+func newDeploymentOn(t *testing.T, cfg emul.PlatformConfig) *deployment {
 	t.Helper()
 	d := &deployment{
 		t: t, directory: t.TempDir(), nodes: map[string]*exec.Cmd{}, upstreams: map[netip.AddrPort]*runningUpstream{},
-		platform: emul.NewPlatform(emul.PlatformConfig{Seed: 1, WritesPerSecond: 300, ReadsPerSecond: 2000}),
+		platform: emul.NewPlatform(cfg),
 	}
 	port := uint16(firstPort + portsPerDeployment*(deploymentCount.Add(1)-1))
 	platform := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
--- a/test/proof/soak_test.go
+++ b/test/proof/soak_test.go
@@ -68,6 +68,24 @@
 }
 
 func TestSoak(t *testing.T) {
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed, false) })
+	}
+	for seed, cause := range regressions {
+		t.Run(fmt.Sprintf("seed %d, %s", seed, cause), func(t *testing.T) { runSoak(t, seed, false) })
+	}
+}
+
+// Guards against keys that are executed twice, accepted changes that are not in force and nodes that go back, in a store that comes back
+// from older copies beside all other faults.
+func TestSoakWithDrills(t *testing.T) {
+	for _, seed := range soakSeeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed, true) })
+	}
+}
+
+func soakSeeds(t *testing.T) []uint64 {
+	t.Helper()
 	seeds := os.Getenv(seedsVariable)
 	if seeds == "" {
 		seeds = defaultSeeds
@@ -78,19 +96,18 @@
 	require.NoError(t, err)
 	to, err := strconv.ParseUint(last, 10, 32)
 	require.NoError(t, err)
+	var list []uint64
 	for seed := from; seed <= to; seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSoak(t, seed) })
-	}
-	for seed, cause := range regressions {
-		t.Run(fmt.Sprintf("seed %d, %s", seed, cause), func(t *testing.T) { runSoak(t, seed) })
+		list = append(list, seed)
 	}
+	return list
 }
 
-func runSoak(t *testing.T, seed uint64) {
+func runSoak(t *testing.T, seed uint64, drills bool) {
 	t.Helper()
 	t.Parallel()
 	s := &soak{
-		deployment: newDeployment(t), random: rand.New(rand.NewPCG(seed, 0)),
+		deployment: newDeploymentOn(t, emul.PlatformConfig{Seed: 1, WritesPerSecond: 300, ReadsPerSecond: 2000, NamesEra: drills}), random: rand.New(rand.NewPCG(seed, 0)),
 		busy: map[string]bool{}, restartCounts: map[string]int{}, disruptions: map[netip.AddrPort][]interval{},
 		stops: map[netip.AddrPort][]interval{},
 	}
@@ -104,6 +121,9 @@
 	stopMonitor := s.monitorRevisions()
 	wait := s.sendLoad(soakDuration+recoveryTimeout/3, orderAndShopLoads...)
 	s.faultsRunning.Go(func() { s.limitUpstream(seed) })
+	if drills {
+		s.faultsRunning.Go(func() { s.drill(seed) })
+	}
 	s.injectRandomFaults()
 	s.faultsRunning.Wait()
 	s.clearFaults()
@@ -279,6 +299,21 @@
 	}
 }
 
+// drill lets the store come back from an older copy twice. It has random numbers of its own, as limitUpstream does.
+func (s *soak) drill(seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	for range 2 {
+		time.Sleep(upTo(soakDuration / 4))
+		copied := s.platform.Copy()
+		time.Sleep(upTo(soakDuration / 5))
+		s.platform.SetFaults(emul.PlatformFaults{Down: true})
+		time.Sleep(upTo(time.Second))
+		s.platform.Rewrite(s.platform.Restore(copied))
+		s.platform.SetFaults(emul.PlatformFaults{})
+	}
+}
+
 func (s *soak) clearFaults() {
 	s.platform.SetFaults(emul.PlatformFaults{})
 	for _, p := range s.proxies {
