--- a/internal/source/bench_test.go
+++ b/internal/source/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 )
@@ -24,7 +25,7 @@
 		}
 		configs[version] = &wirepb.Row{Key: "config", Version: uint64(version + 1), Value: configOf(version, entries...)}
 	}
-	i, state := New(Config{Now: time.Now}), tree.EmptyState()
+	i, state := New(Config{Now: time.Now, Store: store.New(store.Config{})}), tree.EmptyState()
 	var config *checkedConfig
 	next := func(row *wirepb.Row) {
 		build, checked, err := i.buildFunc(row)
--- a/internal/source/check_test.go
+++ b/internal/source/check_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/internal/tree"
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
 	"github.com/turmericdale/turmericdale/platform"
@@ -149,7 +150,7 @@
 		}).Draw(r, "entry")
 	}
 	rapid.Check(t, func(r *rapid.T) {
-		i, state := New(Config{}), rapid.SampledFrom([]*tree.State{tree.EmptyState(), foreign}).Draw(r, "state")
+		i, state := New(Config{Store: store.New(store.Config{})}), rapid.SampledFrom([]*tree.State{tree.EmptyState(), foreign}).Draw(r, "state")
 		i.cfg.Now = func() time.Time { return time.Time{} }
 		for version := range rapid.IntRange(1, 6).Draw(r, "configurations") {
 			row := &wirepb.Row{Key: "config", Version: uint64(version + 1), Value: configOf(version, rapid.SliceOfN(rapid.Custom(draw), 0, 8).Draw(r, "entries")...)}
--- a/internal/source/evacuation.go
+++ b/internal/source/evacuation.go
@@ -20,7 +20,7 @@
 // removeMissingEvacuations treats evacuations whose rows the newest full read of the table did not find as removed at the version of its
 // first page. Another node may have imported the row, so that the evacuations of the tree count as well.
 func (i *Importer) removeMissingEvacuations() {
-	if i.fullRead == nil {
+	if i.fullRead == nil || !i.isMissingRowRemoved() {
 		return
 	}
 	for dataCentre := range i.cfg.Log.State().Evacuated {
@@ -69,11 +69,11 @@
 		put = &wirepb.Put{Path: path, Value: evacuationValue}
 	}
 	return func(state *tree.State) (*wirepb.Change, error) {
-		if isEvacuationProcessed(state, row) || state.MoveOrderVersions[row.GetKey()] >= row.GetVersion() {
+		if isEvacuationProcessed(state, row) || state.MoveOrderVersions[row.GetKey()] >= i.position(row) {
 			return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 		}
 		change := i.newChange(state)
-		change.Puts, change.Order = []*wirepb.Put{put}, &wirepb.OrderMark{Row: row.GetKey(), Version: row.GetVersion()}
+		change.Puts, change.Order = []*wirepb.Put{put}, &wirepb.OrderMark{Row: row.GetKey(), Version: i.position(row)}
 		return change, nil
 	}, nil
 }
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -67,6 +67,9 @@
 	checker entryChecker
 	// reported holds the faults of entries that have been logged, as far as the newest configuration has them.
 	reported map[string]bool
+	// era is the store's era in which the rows were read, eraSince when this importer learned of it.
+	era      uint64
+	eraSince time.Time
 }
 
 // New returns an importer that has read nothing.
@@ -96,7 +99,7 @@
 	if i.cursor == 0 {
 		return i.readTable(ctx)
 	}
-	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, feedTimeout)
+	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, i.feedWait())
 	var expired *store.HistoryExpiredError
 	if errors.As(err, &expired) {
 		i.cfg.Logger.Info("change history expired; reading the whole operator table", zap.Uint64("after_version", i.cursor))
@@ -105,6 +108,9 @@
 	if err != nil {
 		return err
 	}
+	if changed.Era != i.era {
+		return i.readTable(ctx)
+	}
 	i.applyPage(changed)
 	return nil
 }
@@ -116,6 +122,12 @@
 		if err != nil {
 			return err
 		}
+		if page.Era != i.era {
+			// Rows of pages that were read before may have come from another era.
+			i.enterEra(page.Era)
+			from, first = "", 0
+			continue
+		}
 		i.applyPage(page)
 		for _, r := range page.Rows {
 			present[r.GetKey()] = true
@@ -161,12 +173,12 @@
 	}
 	state := i.cfg.Log.State()
 	if platform.IsConfig(row) {
-		return state.OperatorConfigVersion >= row.GetVersion()
+		return state.OperatorConfigVersion >= i.position(row)
 	}
 	if platform.IsEvacuation(row) && isEvacuationProcessed(state, row) {
 		return true
 	}
-	return state.MoveOrderVersions[row.GetKey()] >= row.GetVersion()
+	return state.MoveOrderVersions[row.GetKey()] >= i.position(row)
 }
 
 func (i *Importer) commit(ctx context.Context, row *wirepb.Row) {
@@ -182,11 +194,12 @@
 		i.markInvalid(row, err)
 		return
 	}
-	revision, err := i.cfg.Log.Submit(ctx, operationID(row), build)
+	revision, err := i.cfg.Log.Submit(ctx, i.operationID(row), build)
 	if config != nil {
 		i.reportFaults(row, config)
 	}
 	var applied *AlreadyAppliedError
+	var older *OlderConfigError
 	var invalidValue *tree.ValueError
 	var invalidPath *tree.PathError
 	switch {
@@ -194,6 +207,9 @@
 		i.cfg.Logger.Info("operator row committed", zap.String("row", row.GetKey()), zap.Uint64("row_version", row.GetVersion()), zap.Bool("removed", row.GetDeleted()), zap.Uint64("revision", revision),
 			zap.Duration("waited", started.Sub(i.readAt[row.GetKey()])), zap.Duration("committed_in", i.cfg.Now().Sub(started)))
 	case errors.As(err, &applied):
+	case errors.As(err, &older):
+		i.invalid[row.GetKey()] = row.GetVersion()
+		i.cfg.Logger.Info("configuration of the restored copy not applied", zap.Uint64("row_version", row.GetVersion()), zap.Error(err))
 	case !platform.IsMoveOrder(row) && (errors.As(err, &invalidValue) || errors.As(err, &invalidPath)):
 		i.markInvalid(row, err)
 	default:
@@ -206,8 +222,8 @@
 	}
 }
 
-func operationID(row *wirepb.Row) string {
-	id := row.GetKey() + "-" + strconv.FormatUint(row.GetVersion(), 10)
+func (i *Importer) operationID(row *wirepb.Row) string {
+	id := row.GetKey() + "-" + strconv.FormatUint(i.position(row), 10)
 	if row.GetDeleted() {
 		id += "-removed"
 	}
@@ -259,15 +275,21 @@
 
 // configChange sets the entries that differ from the operator's configuration and deletes those that it no longer declares.
 func (i *Importer) configChange(state *tree.State, row *wirepb.Row, config *checkedConfig) (*wirepb.Change, error) {
-	if state.OperatorConfigVersion >= row.GetVersion() {
+	if state.OperatorConfigVersion >= i.position(row) {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
+	if platform.PositionEra(state.OperatorConfigVersion) < i.era && config.Number < state.OperatorConfigNumber {
+		return nil, &OlderConfigError{Number: config.Number, InForce: state.OperatorConfigNumber}
+	}
 	values, err := config.values(state)
 	if err != nil {
 		return nil, err
 	}
 	change := i.newChange(state)
-	change.SourceVersion = row.GetVersion()
+	change.SourceVersion = i.position(row)
+	if i.cfg.Store.NamesEra() {
+		change.ConfigVersion = config.Number
+	}
 	upToDate := map[string]bool{}
 	for _, entry := range state.Entries("/") {
 		value, declared := values[entry.GetPath()]
@@ -318,11 +340,17 @@
 
 // orderChange declares the move that an operator row orders, with the deadline counted from the receipt of the order.
 func (i *Importer) orderChange(state *tree.State, row *wirepb.Row, order platform.MoveOrder, received time.Time) (*wirepb.Change, error) {
-	if state.MoveOrderVersions[row.GetKey()] >= row.GetVersion() {
+	if state.MoveOrderVersions[row.GetKey()] >= i.position(row) {
 		return nil, &AlreadyAppliedError{Key: row.GetKey(), Version: row.GetVersion()}
 	}
+	mark := &wirepb.OrderMark{Row: row.GetKey(), Version: i.position(row)}
+	if i.isRepeated(state, order) {
+		change := i.newChange(state)
+		change.Order = mark
+		return change, nil
+	}
 	setting := &wirepb.MoveSetting{
-		Version: order.TargetVersion, Deadline: timestamppb.New(received.Add(order.Duration)), Order: order.RowVersion,
+		Version: order.TargetVersion, Deadline: timestamppb.New(received.Add(order.Duration)), Order: i.position(row),
 		AtDeadline: wirepb.DeadlinePolicy_DEADLINE_POLICY_FINISH, Watch: durationpb.New(orderWatchDuration),
 	}
 	value, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(setting)
@@ -333,7 +361,7 @@
 	if err != nil {
 		return nil, err
 	}
-	change.Author, change.Order = operatorAuthor, &wirepb.OrderMark{Row: row.GetKey(), Version: row.GetVersion()}
+	change.Author, change.Order = operatorAuthor, mark
 	return change, nil
 }
 
--- a/internal/tree/build.go
+++ b/internal/tree/build.go
@@ -28,6 +28,7 @@
 			Revision: s.Revision, OperatorConfigVersion: s.OperatorConfigVersion, Limits: s.Limits, Evacuated: s.Evacuated, entryCount: s.entryCount, Services: maps.Clone(s.Services),
 			Workspaces: s.Workspaces, workspacesByKey: s.workspacesByKey,
 			IgnoredEntries: s.IgnoredEntries, MoveOrderVersions: maps.Clone(s.MoveOrderVersions), subtrees: maps.Clone(s.subtrees), routesByMatchKey: maps.Clone(s.routesByMatchKey),
+			OperatorConfigNumber: s.OperatorConfigNumber,
 		},
 		copied: map[string]bool{}, changed: map[string]map[string]decodedEntry{},
 	}
--- a/internal/tree/state.go
+++ b/internal/tree/state.go
@@ -91,6 +91,8 @@
 	// MoveOrderVersions holds, by row key, the newest version of each operator row whose order, for a move or an evacuation or for its
 	// end, the state contains.
 	MoveOrderVersions map[string]uint64
+	// OperatorConfigNumber is the number that the operator gave that configuration, which increases with each one, or 0 if it is not known.
+	OperatorConfigNumber uint64
 
 	// subtrees holds the subtrees by team.
 	subtrees         map[string]*subtree
@@ -114,6 +116,7 @@
 		}
 	}
 	b.next.Revision, b.next.OperatorConfigVersion = snapshot.GetRevision(), snapshot.GetSourceVersion()
+	b.next.OperatorConfigNumber = snapshot.GetConfigVersion()
 	for _, o := range snapshot.GetOrders() {
 		b.next.MoveOrderVersions[o.GetRow()] = o.GetVersion()
 	}
@@ -131,7 +134,9 @@
 			return nil, err
 		}
 		b.next.Revision = c.GetRevision()
-		b.next.OperatorConfigVersion = max(b.next.OperatorConfigVersion, c.GetSourceVersion())
+		if c.GetSourceVersion() > b.next.OperatorConfigVersion {
+			b.next.OperatorConfigVersion, b.next.OperatorConfigNumber = c.GetSourceVersion(), c.GetConfigVersion()
+		}
 		if o := c.GetOrder(); o != nil {
 			b.next.MoveOrderVersions[o.GetRow()] = max(b.next.MoveOrderVersions[o.GetRow()], o.GetVersion())
 		}
@@ -141,7 +146,7 @@
 
 // Snapshot returns all entries of the tree, ordered by path.
 func (s *State) Snapshot() *wirepb.Snapshot {
-	snapshot := &wirepb.Snapshot{Revision: s.Revision, SourceVersion: s.OperatorConfigVersion, Entries: s.Entries("/")}
+	snapshot := &wirepb.Snapshot{Revision: s.Revision, SourceVersion: s.OperatorConfigVersion, ConfigVersion: s.OperatorConfigNumber, Entries: s.Entries("/")}
 	for row, version := range s.MoveOrderVersions {
 		snapshot.Orders = append(snapshot.Orders, &wirepb.OrderMark{Row: row, Version: version})
 	}
