--- a/internal/local/registry_test.go
+++ b/internal/local/registry_test.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -111,6 +112,28 @@
 	}
 }
 
+// Guards against an upstream that its node refuses although the operator may declare its service and version.
+func TestAnnouncedNames(t *testing.T) {
+	tests := []struct {
+		service, version string
+		allowed          bool
+	}{
+		{"shop", "v1", true},
+		{"x--" + strings.Repeat("5f", 78), "v1", true},
+		{strings.Repeat("s", 161), "v1", false},
+		{"shop", "", false},
+		{"", "v1", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.service+" "+tt.version, func(t *testing.T) {
+			err := newRegistryFixture().Announce(&wirepb.Announcement{
+				Service: tt.service, Version: tt.version, Address: "127.0.0.1:1", Slots: 2, Connections: 2,
+			})
+			require.Equal(t, tt.allowed, err == nil, err)
+		})
+	}
+}
+
 func TestSilentUpstreamExpires(t *testing.T) {
 	f := newRegistryFixture()
 	f.announce(t, "i-1", 0, 1, false)
--- a/internal/tree/path.go
+++ b/internal/tree/path.go
@@ -7,7 +7,7 @@
 
 const (
 	maxPathBytes = 200
-	allowedPaths = "/system/limits, /system/ignored, /system/evacuations/DATA_CENTRE, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME, /teams/TEAM/workspaces/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 40 characters of a-z, 0-9 and -, those of workspaces of up to 160"
+	allowedPaths = "/system/limits, /system/ignored, /system/evacuations/DATA_CENTRE, /teams/TEAM/access, /teams/TEAM/services/NAME, /teams/TEAM/routes/NAME, /teams/TEAM/workspaces/NAME or /teams/TEAM/moves/SERVICE, with names of 1 to 160 characters of a-z, 0-9 and -, those of teams of up to 40"
 )
 
 // systemTeam stands for the team of paths that belong to no team; ParsePath accepts no services, routes or moves under it.
@@ -43,11 +43,11 @@
 )
 
 var (
-	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
+	teamPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,39}$`)
 	// dataCentrePattern allows all names of data centres that the settings of a node allow.
 	dataCentrePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
-	// workspaceNamePattern has room for a hex-encoded name of 78 bytes, since upstreams receive the names of workspaces.
-	workspaceNamePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,159}$`)
+	// namePattern has room for a hex-encoded name of 78 bytes: names of the platform may hold characters that a path cannot.
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,159}$`)
 )
 
 // Path is a parsed path of the tree.
@@ -95,10 +95,7 @@
 	if p.Kind == KindEvacuation {
 		return dataCentrePattern.MatchString(p.Name)
 	}
-	team := p.Kind == KindMoveRecord || namePattern.MatchString(p.Team)
-	if p.Kind == KindWorkspace {
-		return team && workspaceNamePattern.MatchString(p.Name)
-	}
+	team := p.Kind == KindMoveRecord || teamPattern.MatchString(p.Team)
 	name := p.Kind == KindAccess || p.Kind == KindLimits || p.Kind == KindIgnored || namePattern.MatchString(p.Name)
 	return team && name
 }
