--- a/pkg/cmd/node/run/reload.go
+++ b/pkg/cmd/node/run/reload.go
@@ -4,15 +4,14 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/internal/conf"
+	"github.com/turmericdale/turmericdale/internal/hangup"
 )
 
 // reloadInterval is the interval between checks of the settings file, which may change without a SIGHUP.
@@ -37,16 +36,13 @@
 
 // reloadLoop checks the settings file at every SIGHUP and every reloadInterval until the context ends.
 func (r *reloader) reloadLoop(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-hangup.Received():
 			r.logger.Info("reload requested by SIGHUP", zap.String("file", r.file))
 		case <-ticker.C:
 		}
