--- a/internal/local/departure.go
+++ b/internal/local/departure.go
@@ -23,7 +23,7 @@
 	// started is the start time of the process, or zero if it is not known.
 	started time.Time
 	leftAt  time.Time
-	// heardAt is when the process left or, later, last announced itself.
+	// heardAt is when the process left or, later, last announced itself with its start time.
 	heardAt time.Time
 }
 
@@ -104,16 +104,20 @@
 	return a.GetId()
 }
 
-// hasDeparted reports whether an announcement comes from a process that left, and remembers that process for longer if so.
+// hasDeparted reports whether an announcement comes from a process that left, and remembers that process for longer if so. An announcement
+// without a start time may come from a later process, which must not count as having left without limit.
 func (r *Registry) hasDeparted(a *wirepb.Announcement) bool {
 	id := departureID(a)
 	d, found := r.departures[id]
 	if !found || !d.covers(a, r.cfg.Now()) {
 		return false
 	}
-	d.heardAt = r.cfg.Now()
-	r.departures[id] = d
-	return true
+	now := r.cfg.Now()
+	if a.GetStarted() != nil {
+		d.heardAt = now
+		r.departures[id] = d
+	}
+	return now.Sub(d.heardAt) <= departureTTL
 }
 
 func (r *Registry) recordDeparture(departed *wirepb.Departure) {
--- a/internal/local/departure_test.go
+++ b/internal/local/departure_test.go
@@ -180,6 +180,39 @@
 	require.NotNil(t, f.leastLoaded(&wirepb.CallHead{Service: "shop"}), "a process that started since accepts calls")
 }
 
+// Guards against an upstream that gets no calls any more after an announcement without a start time, which may be an old one.
+func TestLeaveWithoutStartTime(t *testing.T) {
+	announce := func(f *registryFixture, leaving bool) error {
+		return f.Announce(&wirepb.Announcement{
+			Id: "i-1", Service: "shop", Version: "v1", Address: "127.0.0.1:1", Slots: 2, Connections: 2, Sequence: 2, Leaving: leaving,
+		})
+	}
+	t.Run("of an upstream that announced one", func(t *testing.T) {
+		f := newRegistryFixture()
+		f.announce(t, "i-1", 0, 1, false)
+		var invalid *AnnouncementError
+		require.ErrorAs(t, announce(f, true), &invalid)
+		require.Equal(t, "i-1", f.servingID())
+		require.Empty(t, f.departures)
+		f.announce(t, "i-1", 0, 3, true)
+		require.Empty(t, f.servingID())
+		require.NoError(t, announce(f, true), "it has left")
+	})
+	t.Run("of one that announces none", func(t *testing.T) {
+		f := newRegistryFixture()
+		require.NoError(t, announce(f, false))
+		require.NoError(t, announce(f, true))
+		require.Empty(t, f.servingID())
+		for range int(departureTTL/time.Second) + 1 {
+			require.Empty(t, f.servingID())
+			f.now = f.now.Add(time.Second)
+			f.expireSilent()
+			require.NoError(t, announce(f, false))
+		}
+		require.Equal(t, "i-1", f.servingID(), "a process that announces itself for so long has started since")
+	})
+}
+
 // While the record of departures cannot be read, one late announcement must not bring back an upstream that left, and an upstream
 // that goes on announcing itself accepts calls.
 func TestAnnouncementsAreConfirmedWithoutTheRecord(t *testing.T) {
--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -173,6 +173,9 @@
 	if err != nil {
 		return err
 	}
+	if r.isIncompleteLeave(address, announcement) {
+		return &AnnouncementError{Field: "started", Allowed: "a start time, which earlier announcements of the upstream had"}
+	}
 	r.loadDepartures(announcement)
 	changed, departed := r.applyAnnouncement(address, announcement)
 	if changed {
@@ -182,6 +185,15 @@
 	return nil
 }
 
+// isIncompleteLeave reports whether an announcement that an upstream is leaving has no start time although the upstream announced one. It
+// cannot be told from one of an earlier process, and an upstream that left never returns.
+func (r *Registry) isIncompleteLeave(address netip.AddrPort, a *wirepb.Announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.upstreams[address]
+	return found && !known.leaving && !known.started.IsZero() && a.GetLeaving() && a.GetStarted() == nil
+}
+
 func checkAnnouncement(a *wirepb.Announcement) (netip.AddrPort, error) {
 	address, err := netip.ParseAddrPort(a.GetAddress())
 	switch {
