--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -35,7 +35,7 @@
 var (
 	// servicePattern allows all names of services that the settings tree allows, where names may be hex-encoded.
 	servicePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,159}$`)
-	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.+_-]{0,63}$`)
 )
 
 // Result says how a call counts for the version that served it.
@@ -202,7 +202,7 @@
 	case !servicePattern.MatchString(a.GetService()):
 		return address, &AnnouncementError{Field: "service", Value: a.GetService(), Allowed: "1 to 160 letters, digits, dots, underscores and hyphens that begin with a letter or digit"}
 	case !versionPattern.MatchString(a.GetVersion()):
-		return address, &AnnouncementError{Field: "version", Value: a.GetVersion(), Allowed: "1 to 64 letters, digits, dots, underscores and hyphens that begin with a letter or digit"}
+		return address, &AnnouncementError{Field: "version", Value: a.GetVersion(), Allowed: "1 to 64 letters, digits, dots, plus signs, underscores and hyphens that begin with a letter or digit"}
 	case a.GetSlots() == 0 || a.GetSlots() > maxSlots:
 		return address, &AnnouncementError{Field: "slots", Value: strconv.FormatUint(uint64(a.GetSlots()), 10), Allowed: "1 to 4096"}
 	case a.GetConnections() < a.GetSlots():
--- a/internal/local/registry_test.go
+++ b/internal/local/registry_test.go
@@ -121,6 +121,9 @@
 		{"shop", "v1", true},
 		{"x--" + strings.Repeat("5f", 78), "v1", true},
 		{strings.Repeat("s", 161), "v1", false},
+		{"shop", "1.4.2+build.7", true},
+		{"shop", "1.4.2 build", false},
+		{"shop", "+1", false},
 		{"shop", "", false},
 		{"", "v1", false},
 	}
--- a/internal/tree/tree_test.go
+++ b/internal/tree/tree_test.go
@@ -151,6 +151,14 @@
 }
 
 func TestDeclaredMoves(t *testing.T) {
+	t.Run("to a version with build metadata", func(t *testing.T) {
+		_, _, err := Decode(shopService, `{"version": "1.4.2+build.7"}`)
+		require.NoError(t, err)
+		_, _, err = Decode(shopMove, `{"version": "1.4.2-rc.1+build.7", "deadline": "2027-01-01T13:00:00Z"}`)
+		require.NoError(t, err)
+		_, _, err = Decode(shopService, `{"version": "1.4.2 build"}`)
+		require.Error(t, err)
+	})
 	const declaration = `{"version": "v2", "deadline": "2027-01-01T13:00:00Z"}`
 	t.Run("start with no share", func(t *testing.T) {
 		service := applyEdits(t, shopState(t), "shop", set(shopMove, declaration)).Services["shop"]
--- a/internal/tree/value.go
+++ b/internal/tree/value.go
@@ -43,7 +43,7 @@
 )
 
 var (
-	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.+_-]{0,63}$`)
 	hostPattern    = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,252}$`)
 	prefixPattern  = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,127}$`)
 )
@@ -231,7 +231,7 @@
 	if versionPattern.MatchString(version) {
 		return nil
 	}
-	return &ValueError{Field: "version", Value: shorten(version), Allowed: "1 to 64 letters, digits, dots, underscores and hyphens"}
+	return &ValueError{Field: "version", Value: shorten(version), Allowed: "1 to 64 letters, digits, dots, plus signs, underscores and hyphens"}
 }
 
 func checkDuration(field string, value *durationpb.Duration, low, high time.Duration) *ValueError {
