--- a/internal/local/call.go
+++ b/internal/local/call.go
@@ -317,15 +317,18 @@
 }
 
 func (u *upstream) newRequest(ctx context.Context, head *wirepb.CallHead) (*http.Request, error) {
-	target := "http://" + u.address.String() + string(head.GetTarget())
-	request, err := http.NewRequestWithContext(ctx, head.GetMethod(), target, nil)
+	target := string(head.GetTarget())
+	if err := checkTarget(target); err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, head.GetMethod(), "http://"+u.address.String()+"/", nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "build upstream request")
 	}
 	for _, h := range head.GetHeaders() {
 		request.Header.Add(h.GetName(), string(h.GetValue()))
 	}
-	request.Host = string(head.GetHost())
+	request.Host, request.RequestURI = string(head.GetHost()), target
 	u.setProxyHeaders(ctx, request, head)
 	body := head.GetBody()
 	request.ContentLength = int64(len(body))
--- a/internal/local/conn.go
+++ b/internal/local/conn.go
@@ -147,7 +147,7 @@
 	if deadline, found := ctx.Deadline(); found {
 		_ = connection.SetDeadline(deadline)
 	}
-	if err := request.Write(connection); err != nil {
+	if err := writeRequest(connection, request); err != nil {
 		_ = connection.Close()
 		return nil, &IncompleteResponseError{Cause: err, Reused: connection.reused}
 	}
--- a/internal/local/errors.go
+++ b/internal/local/errors.go
@@ -16,6 +16,13 @@
 	return fmt.Sprintf("invalid announcement: field %s has value %q: must be %s", e.Field, e.Value, e.Allowed)
 }
 
+// TargetError says that the target of a request cannot be sent to an upstream.
+type TargetError struct {
+	Target string
+}
+
+func (e *TargetError) Error() string { return fmt.Sprintf("invalid target %q of a request", e.Target) }
+
 // ResponseTooLargeError says that the body of an upstream's response, or all bodies that are being read, exceed the limit in bytes.
 type ResponseTooLargeError struct {
 	Limit int64
--- a/internal/route/proxy.go
+++ b/internal/route/proxy.go
@@ -209,10 +209,7 @@
 
 // requestPath returns the path in the encoding of the caller: a decoded path could match another route.
 func requestPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") {
-		return r.URL.EscapedPath()
-	}
+	path, _, _ := strings.Cut(requestTarget(r), "?")
 	return path
 }
 
@@ -280,12 +277,24 @@
 // generatesIDs reports whether call ids come from the nodes rather than from the callers.
 func (p *Proxy) generatesIDs() bool { return p.cfg.Headers.GetRequestId() == local.HeaderCallID }
 
-// requestTarget returns path and query in the encoding of the caller.
+// requestTarget returns path and query in the encoding of the caller; those of a target with scheme and host begin after the host.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
 		return r.RequestURI
 	}
-	return r.URL.RequestURI()
+	_, rest, found := strings.Cut(r.RequestURI, "://")
+	if !found {
+		return r.URL.RequestURI()
+	}
+	begin := strings.IndexAny(rest, "/?")
+	switch {
+	case begin < 0:
+		return "/"
+	case rest[begin] == '?':
+		return "/" + rest[begin:]
+	default:
+		return rest[begin:]
+	}
 }
 
 // chooseService returns the service of a call; for a split route, one at random in proportion to the weights.
