--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,9 +164,20 @@
 	n.writeAnswer(conn, answer)
 }
 
+// writeAnswer sends an answer. In place of one that cannot be encoded it sends what is certain of the outcome, since the caller's node waits.
 func (n *Node) writeAnswer(conn net.Conn, answer *wirepb.AnswerHead) {
 	_ = conn.SetWriteDeadline(time.Now().Add(headerTimeout))
-	_ = frame.Write(conn, answer)
+	err := frame.Write(conn, answer)
+	var encode *frame.EncodeError
+	if !errors.As(err, &encode) {
+		return
+	}
+	n.logger.Warn("could not encode an answer", zap.String("id", answer.GetCallId()), zap.Error(err))
+	replacement := &wirepb.AnswerHead{CallId: answer.GetCallId(), Outcome: wirepb.Outcome_OUTCOME_UNKNOWN, Detail: "the answer of the upstream cannot be encoded", Arrived: true}
+	if answer.GetOutcome() == wirepb.Outcome_OUTCOME_NOT_RUN {
+		replacement.Outcome, replacement.Refusal, replacement.Detail = answer.GetOutcome(), answer.GetRefusal(), ""
+	}
+	_ = frame.Write(conn, replacement)
 }
 
 func (n *Node) handleEvidence(conn net.Conn, report *wirepb.EvidenceReport) {
