--- a/internal/local/registry.go
+++ b/internal/local/registry.go
@@ -32,7 +32,11 @@
 	maxSlots       = 4096
 )
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+var (
+	// servicePattern allows all names of services that the settings tree allows, where names may be hex-encoded.
+	servicePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,159}$`)
+	versionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.+_-]{0,63}$`)
+)
 
 // Result says how a call counts for the version that served it.
 type Result int
@@ -174,6 +178,9 @@
 	if err != nil {
 		return err
 	}
+	if r.isIncompleteLeave(address, announcement) {
+		return &AnnouncementError{Field: "started", Allowed: "a start time, which earlier announcements of the upstream had"}
+	}
 	r.loadDepartures(announcement)
 	changed, departed := r.applyAnnouncement(address, announcement)
 	if changed {
@@ -183,15 +190,24 @@
 	return nil
 }
 
+// isIncompleteLeave reports whether an announcement that an upstream is leaving has no start time although the upstream announced one. It
+// cannot be told from one of an earlier process, and an upstream that left never returns.
+func (r *Registry) isIncompleteLeave(address netip.AddrPort, a *wirepb.Announcement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.upstreams[address]
+	return found && !known.leaving && !known.started.IsZero() && a.GetLeaving() && a.GetStarted() == nil
+}
+
 func checkAnnouncement(a *wirepb.Announcement) (netip.AddrPort, error) {
 	address, err := netip.ParseAddrPort(a.GetAddress())
 	switch {
 	case err != nil:
 		return address, &AnnouncementError{Field: "address", Value: a.GetAddress(), Allowed: "an IP address and port"}
-	case !namePattern.MatchString(a.GetService()):
-		return address, &AnnouncementError{Field: "service", Value: a.GetService(), Allowed: "1 to 64 letters, digits, dots, underscores and hyphens that begin with a letter or digit"}
-	case !namePattern.MatchString(a.GetVersion()):
-		return address, &AnnouncementError{Field: "version", Value: a.GetVersion(), Allowed: "1 to 64 letters, digits, dots, underscores and hyphens that begin with a letter or digit"}
+	case !servicePattern.MatchString(a.GetService()):
+		return address, &AnnouncementError{Field: "service", Value: a.GetService(), Allowed: "1 to 160 letters, digits, dots, underscores and hyphens that begin with a letter or digit"}
+	case !versionPattern.MatchString(a.GetVersion()):
+		return address, &AnnouncementError{Field: "version", Value: a.GetVersion(), Allowed: "1 to 64 letters, digits, dots, plus signs, underscores and hyphens that begin with a letter or digit"}
 	case a.GetSlots() == 0 || a.GetSlots() > maxSlots:
 		return address, &AnnouncementError{Field: "slots", Value: strconv.FormatUint(uint64(a.GetSlots()), 10), Allowed: "1 to 4096"}
 	case a.GetConnections() < a.GetSlots():
