--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/pkg/wirepb"
@@ -282,6 +283,10 @@
 	ctx, cancel := context.WithTimeout(l.ctx, requestTimeout)
 	defer cancel()
 	reply, err := l.cfg.Send(ctx, r.Target, r.Message)
+	if err != nil && ctx.Err() != nil {
+		// The stream is closed at the timeout, so that its error does not tell.
+		err = ctx.Err()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.apply(r, reply, err)
@@ -295,7 +300,7 @@
 	now := l.clock.Read()
 	if err != nil {
 		l.Counters.Failures.Add(1)
-		l.stock.Fail(now, r)
+		l.stock.Fail(now, r, errors.Is(err, context.DeadlineExceeded))
 	} else {
 		l.stock.Reply(now, r, reply)
 	}
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// voteDuration is how long a vote counts after its owner issued the stamp that the vote carries. It covers two voteIntervals.
+	// voteDuration is how long a vote counts after its owner issued the stamp that the vote carries. It covers two voteIntervals. A node that
+	// restarted votes only after it, since its earlier process may have voted.
 	voteDuration = 2200 * time.Millisecond
 	stampUnit    = 100 * time.Microsecond
 	// demandPeriod is the period over which the demand for tokens is summed up; most nodes that need more ask once in it.
@@ -108,7 +109,7 @@
 		l.vote(now, request, stamp, current)
 	}
 	o.sync(l, key, now, request.GetNeeds())
-	reply := &wirepb.QuotaReply{Unavailable: l.share == 0}
+	reply := &wirepb.QuotaReply{Unavailable: l.share == 0, Share: l.share}
 	if o.leaving {
 		// The sender gets its tokens by its vote for the last time.
 		defer l.vote(now, request, 0, current)
--- a/internal/quota/shard.go
+++ b/internal/quota/shard.go
@@ -15,16 +15,21 @@
 	// voteMargin covers clocks of different speed.
 	voteMargin = 50 * time.Millisecond
 	// maxFailures is the number of requests without a reply after which a node is not asked any more.
-	maxFailures   = 2
+	maxFailures = 2
+	// slowTimeout is how long a node that does not reply in time is still asked: one that compiles a configuration on a sixth of a core may
+	// stand still for a second, and nodes that turn to another owner meanwhile find empty buckets there.
+	slowTimeout   = 1500 * time.Millisecond
 	probeInterval = time.Second
 	// leftTimeout is how long a node that refuses votes because it stops is not probed.
 	leftTimeout = 5 * time.Second
 	// maxMoveDelay spreads the moves of nodes to an owner that ranks higher, whose buckets start empty.
 	maxMoveDelay = 1500 * time.Millisecond
+	// majorityShare is the share of the votes from which an owner's buckets are taken to be filled, so that nodes return to it at once.
+	majorityShare = 0.5
 	// joinDelay is how long a node must have been joined, and growthDelay how long it must have found few new nodes, before it votes
 	// for the first time. Members that it does not know yet make its vote too heavy.
-	joinDelay     = 1500 * time.Millisecond
-	growthDelay   = time.Second
+	joinDelay     = time.Second
+	growthDelay   = 600 * time.Millisecond
 	maxGrowth     = 0.02
 	resizeTimeout = 30 * time.Second
 )
@@ -34,11 +39,14 @@
 	key    shardKey
 	spaces map[string]*space
 	// target is the node that is asked, stamp its last stamp, received at stampAt by the reply to request stampID.
-	target  string
-	stamp   uint32
-	stampAt time.Duration
-	stampID uint64
-	vote    heldVote
+	target    string
+	stamp     uint32
+	stampAt   time.Duration
+	stampID   uint64
+	repliedAt time.Duration
+	// majority is the node that has last said that it holds most of the votes.
+	majority string
+	vote     heldVote
 	// moveAt is when the node moves to an owner that ranks higher, or 0. Requests carry no vote while it is moving.
 	moveAt           time.Duration
 	moving           bool
@@ -179,7 +187,10 @@
 	case d.target == "" || d.vote.holder == desired || d.suspects[d.target] || !s.view.member(d.target).Live:
 		d.setTarget(desired)
 	case d.moveAt == 0:
-		d.moveAt = now.Slow + time.Duration(s.random()*float64(maxMoveDelay))
+		d.moveAt = now.Slow
+		if d.majority != desired {
+			d.moveAt += time.Duration(s.random() * float64(maxMoveDelay))
+		}
 	case now.Slow >= d.moveAt && !d.moving:
 		d.moving, d.voteNow = true, true
 	}
@@ -220,6 +231,9 @@
 	} else {
 		delete(d.suspects, r.Target)
 	}
+	if reply.GetShare() > majorityShare {
+		d.majority = r.Target
+	}
 	// A node that stops does not count the vote any more. A request without a vote takes back those that were sent before it.
 	if d.vote.holder == r.Target && (stamp == 0 || !r.votes && d.vote.castID < r.id) {
 		d.vote = heldVote{}
@@ -227,7 +241,7 @@
 	if r.probe || r.Target != d.target {
 		return
 	}
-	d.failures = 0
+	d.failures, d.repliedAt = 0, now.Slow
 	if stamp != 0 && r.id > d.stampID {
 		d.stamp, d.stampAt, d.stampID = stamp, now.Slow, r.id
 	}
--- a/internal/quota/simulate_test.go
+++ b/internal/quota/simulate_test.go
@@ -272,7 +272,7 @@
 			s.perform(n, life, func() {
 				if !ended {
 					ended = true
-					n.stock.Fail(n.reading(s.now), r)
+					n.stock.Fail(n.reading(s.now), r, true)
 				}
 			})
 		})
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -357,8 +357,8 @@
 	p.exhaustedUntil = now.Slow + min(max(availableIn, minExhausted), maxExhausted)
 }
 
-// Fail records that a request got no reply in time.
-func (s *Stock) Fail(now Reading, r *Request) {
+// Fail records that a request got no reply: in time, or for another reason such as a closed connection.
+func (s *Stock) Fail(now Reading, r *Request, timedOut bool) {
 	s.settle(r)
 	d := r.shard
 	if r.probe {
@@ -372,7 +372,7 @@
 		return
 	}
 	d.failures++
-	if d.failures >= maxFailures {
+	if d.failures >= maxFailures && (!timedOut || now.Slow-d.repliedAt >= slowTimeout) {
 		d.suspects[d.target] = true
 		d.probedAt[d.target] = now.Slow
 		d.failures = 0
--- a/internal/route/auth.go
+++ b/internal/route/auth.go
@@ -40,9 +40,9 @@
 
 const (
 	// quotaWaitDivisor and maxQuotaWait bound the time that a call waits for the decision on its quota: a part of its latency objective, and
-	// several round trips between data centres.
-	quotaWaitDivisor = 10
-	maxQuotaWait     = 100 * time.Millisecond
+	// the time that an owner on a sixth of a core may need beside other work. A call that is refused for lack of an answer returns later still.
+	quotaWaitDivisor = 2
+	maxQuotaWait     = 250 * time.Millisecond
 )
 
 // QuotaDecision says whether a call of a workspace is within its quota.
