--- a/internal/move/controller.go
+++ b/internal/move/controller.go
@@ -260,7 +260,8 @@
 	return proto.Equal(before, same)
 }
 
-// writeRecord replaces a move's record if it has not changed since it was read; otherwise it returns *ConflictError.
+// writeRecord replaces a move's record if it has not changed since it was read and, unless the move is taken back, its version has not been
+// rejected; otherwise it returns *ConflictError.
 func (c *Controller) writeRecord(ctx context.Context, before, after *wirepb.MoveRecord) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -270,7 +271,8 @@
 	}
 	_, err = c.cfg.Log.Submit(ctx, uuid.NewString(), func(state *tree.State) (*wirepb.Change, error) {
 		service, found := state.Services[before.GetService()]
-		if !found || !proto.Equal(service.MoveRecord, before) {
+		rejected := after.GetState() != wirepb.MoveState_MOVE_STATE_TAKEN_BACK && c.cfg.Verdicts.Rejected(before)
+		if !found || rejected || !proto.Equal(service.MoveRecord, before) {
 			return nil, &ConflictError{Service: before.GetService()}
 		}
 		return &wirepb.Change{
--- a/internal/move/takeback.go
+++ b/internal/move/takeback.go
@@ -68,8 +68,12 @@
 	})
 	err := c.writeRecord(ctx, service.MoveRecord, TakenBackRecord(service.MoveRecord, reason, c.cfg.Now()))
 	var conflict *ConflictError
-	if errors.As(err, &conflict) {
-		return nil
+	if !errors.As(err, &conflict) {
+		return err
 	}
-	return err
+	// Unless another node recorded the move as done, the deciders record the verdict.
+	if now, found := c.cfg.Log.State().Services[name]; found && now.MoveRecord.GetState() == wirepb.MoveState_MOVE_STATE_DONE {
+		return &EndedError{Service: name, State: now.MoveRecord.GetState().String()}
+	}
+	return nil
 }
--- a/internal/move/verdict.go
+++ b/internal/move/verdict.go
@@ -69,8 +69,12 @@
 	return list
 }
 
-// Rejected reports whether the new version of a record's move was rejected.
+// Rejected reports whether the new version of a record's move was rejected. A verdict that comes after the move was recorded as done has no
+// effect: the operator may have stopped the servers of the version before.
 func (v *Verdicts) Rejected(record *wirepb.MoveRecord) bool {
+	if record.GetState() == wirepb.MoveState_MOVE_STATE_DONE {
+		return false
+	}
 	verdict := v.Get(record.GetService())
 	return verdict != nil && verdict.GetDeclaredRevision() == record.GetDeclaredRevision()
 }
