--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/turmericdale/turmericdale/internal/conf"
 )
 
 const (
@@ -39,24 +41,32 @@
 	return fmt.Sprintf("stopped with %d calls still running after the stop timeout of %s", e.RunningCalls, e.Timeout)
 }
 
+// stopWaits returns how long after the begin of a stop the node serves as before, and how long at most it accepts requests of callers.
+// The first leaves at least half of the stop timeout to running calls.
+func stopWaits(settings *conf.Settings) (leave, refuse time.Duration) {
+	leave = max(min(settings.LeaveTime, settings.StopTimeout/2), minLeaveDuration)
+	return leave, min(leave+outboundCallsTimeout, settings.StopTimeout)
+}
+
 // drain takes this node out of service. At first it only reports that it is not ready and continues to serve for leave_time, so
 // that callers can change to other nodes. Then it refuses calls from other nodes and reports to them that it leaves. When the
-// local upstreams have finished their calls, or after outboundCallsTimeout, it refuses the requests of callers too and waits
+// local upstreams have finished their calls, or after a time that stopWaits bounds, it refuses the requests of callers too and waits
 // until no call is running. It returns *StopTimeoutError if calls are still running at the stop timeout.
 func (n *Node) drain() error {
 	n.stopping.Store(true)
 	n.logger.Info("node stopping", zap.Int("calls_running", n.runningCount()))
 	started := n.now()
+	leaveTime, refuseTime := stopWaits(n.settings)
 	n.callerServer.DisableKeepAlives()
 	// Connections that are waiting for the first configuration must be accepted before the listener is closed.
 	<-n.serving
-	time.Sleep(max(n.settings.LeaveTime, minLeaveDuration))
+	time.Sleep(leaveTime)
 	n.localRegistry.Stop()
 	var leave sync.WaitGroup
 	defer leave.Wait()
 	leave.Go(func() { n.hub.Leave(context.Background()) })
 	// A local upstream makes outbound calls through this node while it finishes its running calls.
-	for n.localRegistry.InFlight() > 0 && n.now().Sub(started) < n.settings.LeaveTime+outboundCallsTimeout {
+	for n.localRegistry.InFlight() > 0 && n.now().Sub(started) < refuseTime {
 		time.Sleep(checkInterval)
 	}
 	n.callerServer.RefuseRequests()
