--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"syscall"
@@ -72,6 +73,8 @@
 	if h.leaving {
 		return nil
 	}
+	now := h.cfg.Now()
+	maps.DeleteFunc(h.dials, func(_ netip.AddrPort, d *dialState) bool { return !d.dialling && !now.Before(d.retryAt) })
 	linked := map[string]bool{}
 	for _, l := range h.links {
 		linked[l.address] = true
@@ -84,8 +87,7 @@
 		if len(chosen) >= limit {
 			break
 		}
-		d := h.dials[address]
-		if linked[address.String()] || d != nil && (d.dialling || h.cfg.Now().Before(d.retryAt)) {
+		if linked[address.String()] || h.dials[address] != nil {
 			continue
 		}
 		h.dials[address] = &dialState{dialling: true}
--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -88,7 +88,7 @@
 	knownAddresses []netip.AddrPort
 	// distributedRevision is the newest revision that another relay distributes to all relays itself.
 	distributedRevision uint64
-	// invitedAt holds the times of the last invitations by address.
+	// invitedAt holds the times of the invitations within reinviteInterval by address.
 	invitedAt map[netip.AddrPort]time.Time
 	nodeRows  []*wirepb.NodeRow
 	// pollNow starts the next poll of the platform at once.
--- a/internal/relay/invite.go
+++ b/internal/relay/invite.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -164,10 +165,12 @@
 	})
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	maps.DeleteFunc(h.invitedAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= reinviteInterval })
 	var list []netip.AddrPort
 	add := func(node, text string) {
 		address, err := netip.ParseAddrPort(text)
-		if err != nil || h.links[node] != nil || node == h.cfg.Node || now.Sub(h.invitedAt[address]) < reinviteInterval {
+		_, invited := h.invitedAt[address]
+		if err != nil || h.links[node] != nil || node == h.cfg.Node || invited {
 			return
 		}
 		h.invitedAt[address] = now
--- a/internal/relay/invite_test.go
+++ b/internal/relay/invite_test.go
@@ -115,6 +115,34 @@
 	require.Equal(t, []netip.AddrPort{inviter}, h.nextDials())
 }
 
+// Guards against memory that grows with each address that a node has ever dialled or invited, as in a deployment whose nodes return at other
+// addresses.
+func TestAddressesAreForgotten(t *testing.T) {
+	const addresses = 1000
+	_, platform := newPlatform(t)
+	client := store.New(store.Config{Address: platform})
+	t.Cleanup(client.Close)
+	now := time.Now()
+	h := New(Config{
+		Node: "node", DataCentre: "dc", Logger: zap.NewNop(), Now: func() time.Time { return now }, Store: client,
+		Members: member.New(member.Config{Self: &wirepb.MemberRecord{Node: "node"}, Now: time.Now}),
+	})
+	kept := netip.MustParseAddrPort("127.0.0.1:1")
+	h.dials[kept] = &dialState{dialling: true}
+	for i := range uint16(addresses) {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), 1000+i)
+		h.backOff(address)
+		h.nodeRows = []*wirepb.NodeRow{{Node: "gone", PeerAddress: address.String()}}
+		require.Equal(t, []netip.AddrPort{address}, h.nextInvitations())
+		require.Empty(t, h.nextInvitations(), "invited a moment ago")
+		now = now.Add(reinviteInterval)
+		h.nextDials()
+	}
+	require.Len(t, h.dials, 1)
+	require.Contains(t, h.dials, kept, "being dialled")
+	require.LessOrEqual(t, len(h.invitedAt), 1)
+}
+
 // After a restart of a data centre the leases of earlier incarnations are still in the table. New relays must not wait
 // until these leases lapse.
 func TestStaleLeaseIsVoided(t *testing.T) {
