--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -106,6 +106,18 @@
 }
 
 // A panic costs the stream that it happens in, not the process, the session or other streams.
+// Guards against memory that grows with each address that a relay has ever had.
+func TestAddressesOfEarlierRelaysAreForgotten(t *testing.T) {
+	earlier, relay, other := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3")
+	p := NewPool(PoolConfig{Now: time.Now, IsWAN: func(address netip.AddrPort) bool { return address == other }})
+	t.Cleanup(p.Close)
+	p.SetWAN(map[netip.AddrPort]bool{earlier: true, other: false})
+	require.Equal(t, []bool{true, false, false}, []bool{p.crossesWAN(earlier), p.crossesWAN(relay), p.crossesWAN(other)})
+	p.SetWAN(map[netip.AddrPort]bool{relay: true})
+	require.Equal(t, []bool{false, true, true}, []bool{p.crossesWAN(earlier), p.crossesWAN(relay), p.crossesWAN(other)})
+	require.Len(t, p.wan, 1)
+}
+
 func TestPanicEndsOneStream(t *testing.T) {
 	s, address := newServer(t)
 	p := newPool(t)
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -41,7 +41,7 @@
 	mu       sync.Mutex
 	closed   bool
 	sessions map[netip.AddrPort]*session
-	// wan holds the values of SetWAN.
+	// wan holds the values of the last SetWAN.
 	wan   map[netip.AddrPort]bool
 	tasks sync.WaitGroup
 }
@@ -224,11 +224,12 @@
 	return started, err
 }
 
-// SetWAN records whether a node, which PoolConfig.IsWAN may not know, is in another data centre.
-func (p *Pool) SetWAN(address netip.AddrPort, wan bool) {
+// SetWAN records which nodes, some of which PoolConfig.IsWAN may not know, are in another data centre. It replaces what earlier calls
+// recorded, and the map must not be changed afterwards.
+func (p *Pool) SetWAN(wan map[netip.AddrPort]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wan[address] = wan
+	p.wan = wan
 }
 
 func (p *Pool) crossesWAN(address netip.AddrPort) bool {
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -168,9 +168,21 @@
 			delete(h.leases, key)
 		}
 	}
+	h.cfg.Pool.SetWAN(h.relaysInWAN())
 	return nil
 }
 
+// relaysInWAN returns for the address of each relay whether it is in another data centre. h.mu must be held.
+func (h *Hub) relaysInWAN() map[netip.AddrPort]bool {
+	wan := make(map[netip.AddrPort]bool, len(h.leases))
+	for _, o := range h.leases {
+		if address, err := netip.ParseAddrPort(o.lease.GetPeerAddress()); err == nil {
+			wan[address] = o.lease.GetDataCentre() != h.cfg.DataCentre
+		}
+	}
+	return wan
+}
+
 func (h *Hub) observeLease(row *wirepb.Row) {
 	known := h.leases[row.GetKey()]
 	if known != nil && known.version == row.GetVersion() {
@@ -180,9 +192,6 @@
 	if err := proto.Unmarshal(row.GetValue(), lease); err != nil {
 		return
 	}
-	if address, err := netip.ParseAddrPort(lease.GetPeerAddress()); err == nil {
-		h.cfg.Pool.SetWAN(address, lease.GetDataCentre() != h.cfg.DataCentre)
-	}
 	h.leases[row.GetKey()] = &observedLease{key: row.GetKey(), version: row.GetVersion(), lease: lease, changedAt: h.cfg.Now()}
 }
 
