--- a/internal/oplog/log.go
+++ b/internal/oplog/log.go
@@ -40,7 +40,9 @@
 // InvalidRevision names a revision that was not applied because a check failed, and the reason.
 type InvalidRevision struct {
 	Revision uint64
-	Reason   string
+	// Newest is the newest revision that was received and cannot be applied because of it.
+	Newest uint64
+	Reason string
 }
 
 // Log is a node's copy of the ordered log of changes; its revision never decreases.
@@ -127,7 +129,8 @@
 	return l.changed
 }
 
-// ApplyChanges applies consecutive changes, without those already applied, and reports whether changes before them are missing.
+// ApplyChanges applies consecutive changes, without those already applied, up to the first invalid one, and reports whether changes before
+// them are missing.
 func (l *Log) ApplyChanges(changes []*wirepb.Change, origin Origin) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,7 +148,13 @@
 	}
 	next, err := state.Apply(changes...)
 	if err != nil {
-		l.markInvalid(changes[len(changes)-1].GetRevision(), err)
+		newest := changes[len(changes)-1].GetRevision()
+		next, changes, err = applyEach(state, changes)
+		if err != nil {
+			defer l.markInvalid(next.Revision+1, newest, err)
+		}
+	}
+	if len(changes) == 0 {
 		return false
 	}
 	l.recentChanges = append(l.recentChanges, changes...)
@@ -160,6 +169,18 @@
 	return false
 }
 
+// applyEach applies changes one by one and returns the state before the first invalid one, the changes that led to it and the error.
+func applyEach(state *tree.State, changes []*wirepb.Change) (*tree.State, []*wirepb.Change, error) {
+	for i, c := range changes {
+		next, err := state.Apply(c)
+		if err != nil {
+			return state, changes[:i], err
+		}
+		state = next
+	}
+	return state, changes, nil
+}
+
 func (l *Log) observeAges(changes []*wirepb.Change) {
 	now := l.now()
 	for _, c := range changes {
@@ -186,7 +207,7 @@
 	}
 	next, err := tree.FromSnapshot(snapshot)
 	if err != nil {
-		l.markInvalid(snapshot.GetRevision(), err)
+		l.markInvalid(snapshot.GetRevision(), snapshot.GetRevision(), err)
 		return
 	}
 	l.recentChanges = nil
@@ -201,11 +222,11 @@
 	l.changed = make(chan struct{})
 }
 
-func (l *Log) markInvalid(revision uint64, cause error) {
+func (l *Log) markInvalid(revision, newest uint64, cause error) {
 	if previous := l.InvalidRevision(); previous == nil || previous.Revision != revision {
 		l.logger.Warn("invalid revision not applied", zap.Uint64("revision", revision), zap.Error(cause))
 	}
-	l.invalid.Store(&InvalidRevision{Revision: revision, Reason: cause.Error()})
+	l.invalid.Store(&InvalidRevision{Revision: revision, Newest: newest, Reason: cause.Error()})
 }
 
 func (l *Log) recordKnownRevision(revision uint64) {
--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -133,7 +133,7 @@
 // hasApplied reports whether the changes up to a revision are in force here or were found to be invalid.
 func (h *Hub) hasApplied(revision uint64) bool {
 	invalid := h.cfg.Log.InvalidRevision()
-	return h.cfg.Log.State().Revision >= revision || invalid != nil && invalid.Revision >= revision
+	return h.cfg.Log.State().Revision >= revision || invalid != nil && invalid.Newest >= revision
 }
 
 // untilOutOfTouch returns how long this node may still wait for its parents before it reads the platform itself.
