--- a/internal/relay/era_test.go
+++ b/internal/relay/era_test.go
@@ -63,7 +63,11 @@
 		name   string
 		beside func(d *virtualDeployment, copied *emul.StoreCopy)
 	}{
-		{"one drill", func(*virtualDeployment, *emul.StoreCopy) {}},
+		{"one drill", func(d *virtualDeployment, _ *emul.StoreCopy) {
+			// The rows are read at once, not in the next of pollsPerRowRead polls.
+			time.Sleep(2 * time.Second)
+			d.requireRowsComplete()
+		}},
 		{"a second drill 0.7 s later", func(d *virtualDeployment, copied *emul.StoreCopy) {
 			time.Sleep(700 * time.Millisecond)
 			d.drill(copied, 500*time.Millisecond)
@@ -210,3 +214,75 @@
 	}
 	return total
 }
+
+// Guards against a drill whose cost at the store grows with the nodes instead of with the relays. It prints what docs/CAPACITY.md uses.
+func TestCostOfADrill(t *testing.T) {
+	const settled, observed, entries, maxPerRelay, maxFixed = 30 * time.Second, 20 * time.Second, 200, 40, 20
+	tests := []struct {
+		dataCentres, nodes int
+	}{{0, 4}, {0, 12}, {0, 24}, {2, 4}, {6, 4}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d nodes beside %d data centres of 2", tt.nodes, tt.dataCentres+1), func(t *testing.T) {
+			runVirtualOn(t, eraConfig(), tt.nodes, func(d *virtualDeployment) {
+				for i := range tt.dataCentres {
+					d.start(fmt.Sprintf("dc%d", i), relaySlots)
+				}
+				for i := range entries {
+					require.True(t, d.commitAt(d.nodes[0], fmt.Sprintf("service-%03d", i)))
+				}
+				time.Sleep(settled)
+				reads, writes, _ := d.costs()
+				time.Sleep(observed)
+				idleReads, idleWrites, bytes := d.costs()
+				copied := d.platform.Copy()
+				revision := d.nodes[0].hub.cfg.Log.State().Revision
+				d.platform.Restore(copied)
+				returned := time.Now()
+				established, inForce := time.Duration(0), time.Duration(0)
+				for inForce == 0 && time.Since(returned) < observed {
+					time.Sleep(10 * time.Millisecond)
+					switch have := d.countAbove(revision); {
+					case have == len(d.nodes):
+						inForce = time.Since(returned)
+					case have > 0 && established == 0:
+						established = time.Since(returned)
+					}
+				}
+				time.Sleep(observed - time.Since(returned))
+				drillReads, drillWrites, drillBytes := d.costs()
+				extraReads, extraWrites := drillReads-2*idleReads+reads, drillWrites-2*idleWrites+writes
+				t.Logf("%d nodes, %d relays: %d reads and %d writes more than in the %s before, established after %s, on all nodes after %s, %d bytes of snapshots over links (one has %d)",
+					len(d.nodes), 2*(tt.dataCentres+2), int64(extraReads), int64(extraWrites), observed, established, inForce, drillBytes-bytes, d.snapshotBytes())
+				require.Positive(t, inForce)
+				require.Less(t, inForce, drillRecovery)
+				require.LessOrEqual(t, int64(extraReads+extraWrites), int64(maxFixed+maxPerRelay*2*(tt.dataCentres+2)))
+			})
+		})
+	}
+}
+
+func (d *virtualDeployment) snapshotBytes() int {
+	snapshot, err := d.nodes[0].hub.cfg.Log.EncodedSnapshot()
+	require.NoError(d.t, err)
+	return len(snapshot.Data)
+}
+
+// costs returns the operations of the store and the bytes of snapshots that were sent over links, so far.
+func (d *virtualDeployment) costs() (reads, writes, snapshotBytes uint64) {
+	reads, writes = d.platform.OperationCounts()
+	for _, n := range d.nodes {
+		snapshotBytes += n.hub.Counters.SentBytes[kindSnapshot].Load()
+	}
+	return reads, writes, snapshotBytes
+}
+
+// countAbove returns how many nodes have a newer revision.
+func (d *virtualDeployment) countAbove(revision uint64) int {
+	count := 0
+	for _, n := range d.nodes {
+		if n.hub.cfg.Log.State().Revision > revision {
+			count++
+		}
+	}
+	return count
+}
