--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -114,10 +114,12 @@
 			return err
 		}
 		if page.Era != i.era {
-			// Rows of pages that were read before may have come from another era.
 			i.enterEra(page.Era)
-			from, first = "", 0
-			continue
+			if from != "" {
+				// The pages before came from another era.
+				from, first = "", 0
+				continue
+			}
 		}
 		i.applyPage(page)
 		if first == 0 {
