--- a/internal/oplog/era.go
+++ b/internal/oplog/era.go
@@ -28,6 +28,9 @@
 	// establishDelay is how long links get to bring the newest revision to this node. Large changes are sent between data centres 0.6 s
 	// late.
 	establishDelay = time.Second
+	// bootstrapDelay is how long a node without changes waits for a link before it starts from the restored copy, which is older than what
+	// the others have in force, and than what it had before a restart. Links form within a second.
+	bootstrapDelay = 1500 * time.Millisecond
 	// incompleteFactor multiplies it for a node whose state came only from the restored copy, or that knows of revisions that it lacks.
 	incompleteFactor = 5
 	// establishJitter spreads the nodes; one of them establishes the log, and the others find it done.
@@ -102,13 +105,10 @@
 func (l *Log) namesEra() bool { return l.store != nil && l.store.NamesEra() }
 
 // awaitEra notes that the log has to be established in the era of a head that is older than the log. A node that has no changes starts
-// from the restored copy, so that it can serve meanwhile. It returns *ReestablishingError or what Sync returns.
+// from the restored copy after bootstrapDelay, so that it can serve meanwhile. It returns *ReestablishingError or what Sync returns.
 func (l *Log) awaitEra(ctx context.Context, row *headRow) error {
 	l.notePending(row)
-	if l.State().Revision == 0 {
-		l.era.mu.Lock()
-		l.era.restoredOnly = true
-		l.era.mu.Unlock()
+	if l.State().Revision == 0 && l.startsFromCopy() {
 		if err := l.catchUp(ctx, row.head); err != nil {
 			return err
 		}
@@ -117,6 +117,14 @@
 	return &ReestablishingError{Era: row.era}
 }
 
+// startsFromCopy reports whether a node without changes has waited long enough for a link that brings newer ones than the copy has.
+func (l *Log) startsFromCopy() bool {
+	l.era.mu.Lock()
+	defer l.era.mu.Unlock()
+	l.era.restoredOnly = true
+	return l.now().Sub(l.era.since) >= bootstrapDelay
+}
+
 func (l *Log) notePending(row *headRow) {
 	l.era.mu.Lock()
 	defer l.era.mu.Unlock()
--- a/internal/oplog/era_test.go
+++ b/internal/oplog/era_test.go
@@ -7,7 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"go.uber.org/zap"
+
 	"github.com/turmericdale/turmericdale/internal/emul"
+	"github.com/turmericdale/turmericdale/internal/store"
 	"github.com/turmericdale/turmericdale/internal/tree"
 )
 
@@ -145,3 +148,29 @@
 		require.Equal(t, before, first.State().Revision)
 	})
 }
+
+// Guards against a node that restarts during a drill and at once goes back to the older configuration of the copy, although links are about
+// to bring the newer one, and against one that never starts since there are no others.
+func TestRestartDuringADrill(t *testing.T) {
+	platform, address := newEraPlatform(t)
+	l := newLog(t, address)
+	_, err := l.Submit(t.Context(), "a", setNamed("a"))
+	require.NoError(t, err)
+	copied := platform.Copy()
+	platform.Restore(copied)
+	now := time.Now()
+	restarted := New(Config{Store: store.New(store.Config{Address: address}), Logger: zap.NewNop(), Now: func() time.Time { return now }})
+	var reestablishing *ReestablishingError
+	require.ErrorAs(t, restarted.Sync(t.Context()), &reestablishing)
+	require.Zero(t, restarted.State().Revision)
+	at, pending := restarted.establishAt()
+	require.True(t, pending)
+	require.GreaterOrEqual(t, at.Sub(now), incompleteFactor*establishDelay)
+	now = now.Add(bootstrapDelay)
+	require.ErrorAs(t, restarted.Sync(t.Context()), &reestablishing)
+	requireEntries(t, restarted.State(), "a")
+	gossip(restarted, l)
+	restarted.noteLinked()
+	at, _ = restarted.establishAt()
+	require.Less(t, at.Sub(now), incompleteFactor*establishDelay)
+}
