--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -122,6 +122,24 @@
 
 // A panic costs the stream that it happens in, not the process, the session or other streams.
 // Guards against memory that grows with each address that a relay has ever had.
+// Guards against reports of evidence, links and quota requests that get no answer because they are sent on a stream that has carried calls:
+// the server accepts only calls there.
+func TestOtherMessagesAfterCalls(t *testing.T) {
+	s, address := newServer(t)
+	s.cfg.HandleEvidence = func(conn net.Conn, _ *wirepb.EvidenceReport) { _ = frame.Write(conn, &wirepb.EvidenceReply{}) }
+	p := newPool(t)
+	call, err := p.OpenCallStream(t.Context(), address)
+	require.NoError(t, err)
+	require.NoError(t, call.Send(t.Context(), &wirepb.StreamHead{Kind: &wirepb.StreamHead_Call{Call: &wirepb.CallHead{CallId: "7"}}}))
+	require.NoError(t, frame.Read(call.Reader, &wirepb.AnswerHead{}, maxHeadBytes))
+	call.Release()
+	report, err := p.OpenStream(t.Context(), address)
+	require.NoError(t, err)
+	defer func() { _ = report.Close() }()
+	require.NoError(t, report.Send(t.Context(), &wirepb.StreamHead{Kind: &wirepb.StreamHead_Evidence{Evidence: &wirepb.EvidenceReport{}}}))
+	require.NoError(t, frame.Read(report.Reader, &wirepb.EvidenceReply{}, maxHeadBytes))
+}
+
 func TestAddressesOfEarlierRelaysAreForgotten(t *testing.T) {
 	earlier, relay, other := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3")
 	p := NewPool(PoolConfig{Now: time.Now, IsWAN: func(address netip.AddrPort) bool { return address == other }})
@@ -212,7 +230,7 @@
 	for range 200 {
 		ctx, cancel := context.WithCancel(t.Context())
 		go cancel()
-		stream, err := p.OpenStream(ctx, address)
+		stream, err := p.OpenCallStream(ctx, address)
 		if err != nil {
 			given++
 			continue
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -77,8 +77,18 @@
 	return &Pool{dial: cfg.Dial, now: cfg.Now, isWAN: cfg.IsWAN, sessions: map[netip.AddrPort]*session{}, wan: map[netip.AddrPort]bool{}}
 }
 
-// OpenStream returns an idle or new stream to a node, dialling if necessary; after a *DialError, nothing was sent.
+// OpenCallStream returns a stream to a node for calls, which may have carried others, and dials if necessary; after a *DialError, nothing was
+// sent.
+func (p *Pool) OpenCallStream(ctx context.Context, address netip.AddrPort) (*Stream, error) {
+	return p.open(ctx, address, true)
+}
+
+// OpenStream is OpenCallStream for messages other than calls. It returns a new stream, since nodes accept only calls after a call.
 func (p *Pool) OpenStream(ctx context.Context, address netip.AddrPort) (*Stream, error) {
+	return p.open(ctx, address, false)
+}
+
+func (p *Pool) open(ctx context.Context, address netip.AddrPort, reuse bool) (*Stream, error) {
 	s, err := p.session(address)
 	if err != nil {
 		return nil, &DialError{Address: address, Cause: err}
@@ -94,7 +104,7 @@
 	s.lastUsed.Store(p.now().UnixNano())
 	// A stream that is being opened counts as active, so that the session is pinged meanwhile.
 	s.activeStreams.Add(1)
-	stream, err := p.openStream(ctx, s)
+	stream, err := p.openStream(ctx, s, reuse)
 	if err != nil {
 		s.activeStreams.Add(-1)
 		return nil, &DialError{Address: address, Cause: err}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -59,15 +59,17 @@
 	s.session.keepIdle(&Stream{Conn: s.Conn, Reader: s.Reader, session: s.session})
 }
 
-// openStream returns an idle stream or opens a new one. One that is open only after the context has ended is kept for reuse.
-func (p *Pool) openStream(ctx context.Context, s *session) (*Stream, error) {
+// openStream opens a stream, or returns an idle one if it may be reused. One that is open only after the context has ended is kept for reuse.
+func (p *Pool) openStream(ctx context.Context, s *session, reuse bool) (*Stream, error) {
 	if s.mux.IsClosed() {
 		return nil, &ClosedError{}
 	}
-	select {
-	case stream := <-s.idleStreams:
-		return stream, nil
-	default:
+	if reuse {
+		select {
+		case stream := <-s.idleStreams:
+			return stream, nil
+		default:
+		}
 	}
 	var decided atomic.Bool
 	opened := make(chan openResult, 1)
--- a/internal/route/attempt.go
+++ b/internal/route/attempt.go
@@ -271,7 +271,7 @@
 
 // callRemote sends the call to the node of a remote upstream. The outcome is unknown unless the call has certainly not run.
 func (p *Proxy) callRemote(ctx context.Context, chosen *candidate, head *wirepb.CallHead) (*wirepb.AnswerHead, error) {
-	stream, err := p.cfg.Pool.OpenStream(ctx, chosen.upstream.PeerAddress)
+	stream, err := p.cfg.Pool.OpenCallStream(ctx, chosen.upstream.PeerAddress)
 	if err != nil {
 		return failedAnswer(head, wirepb.Outcome_OUTCOME_NOT_RUN, err), err
 	}
