--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -214,7 +214,7 @@
 	for _, r := range members.Records() {
 		down := r.GetDown() && r.GetNode() != self
 		if !down || r.GetLeft() || members.RecordAge(r.GetNode()) < silent {
-			list = append(list, quota.Member{Name: r.GetNode(), Live: !down, Left: down && r.GetLeft()})
+			list = append(list, quota.Member{Name: r.GetNode(), Live: !down, Left: down && r.GetLeft(), Started: time.Unix(0, int64(r.GetLife()))})
 		}
 	}
 	return list
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -151,7 +151,7 @@
 }
 
 func (l *Limiter) handle(request *wirepb.QuotaRequest) *wirepb.QuotaReply {
-	reply := l.owner.Handle(l.clock.Read(), request)
+	reply := l.owner.Handle(l.clock.Read(), l.stock.WithoutUnprovenVote(request))
 	for _, g := range reply.GetGrants() {
 		if _, isShard := parseShard(g.GetWorkspace()); !isShard {
 			l.Counters.Granted.Add(uint64(g.GetTokens()))
@@ -244,7 +244,7 @@
 	defer l.mu.Unlock()
 	now := l.clock.Read()
 	l.viewAt = now.Slow + interval
-	l.stock.SetView(now, NewView(members), joined)
+	l.stock.SetView(now, NewView(l.stock.Classify(now, l.cfg.Now(), members, joined)), joined)
 }
 
 // isActive reports whether any workspace has a quota.
--- a/internal/quota/simulate_test.go
+++ b/internal/quota/simulate_test.go
@@ -204,6 +204,14 @@
 	s.tick(n, n.life)
 }
 
+// accepted returns a request as the node's owner gets it; nodes of large deployments may be owners only.
+func (n *simNode) accepted(request *wirepb.QuotaRequest) *wirepb.QuotaRequest {
+	if n.stock == nil {
+		return request
+	}
+	return n.stock.WithoutUnprovenVote(request)
+}
+
 func (s *simulation) startOwner(n *simNode) {
 	n.started, n.speed, n.quotas = s.now, 1+(s.random.Float64()-0.5)*4e-4, s.quotas
 	n.owner = NewOwner(OwnerConfig{Bounds: simulatedBounds, Quotas: func() map[string]Quota { return n.quotas }, FirstStamp: s.random.Uint32()})
@@ -239,9 +247,10 @@
 			if down && s.now-n.unreachable[j] > n.lateness[j]+silentTimeout {
 				continue
 			}
-			members = append(members, Member{Name: other.name, Live: !down, Left: left})
+			members = append(members, Member{Name: other.name, Live: !down, Left: left, Started: time.Unix(0, 0).Add(other.started)})
 		}
-		n.stock.SetView(n.reading(s.now), NewView(sorted(members)), s.now-n.started > 300*time.Millisecond)
+		joined := s.now-n.started > 300*time.Millisecond
+		n.stock.SetView(n.reading(s.now), NewView(n.stock.Classify(n.reading(s.now), time.Unix(0, 0).Add(s.now), sorted(members), joined)), joined)
 	})
 	if n.alive && n.life == life {
 		s.after(simulatedRefresh, func() { s.refresh(n, life) })
@@ -293,7 +302,7 @@
 		s.after(delay, func() {
 			s.perform(target, target.life, func() {
 				target.received++
-				reply := target.owner.Handle(target.reading(s.now), r.Message)
+				reply := target.owner.Handle(target.reading(s.now), target.accepted(r.Message))
 				s.recordGrants(reply)
 				if s.random.Float64() < s.lossRate || n.side != target.side {
 					return
--- a/internal/quota/stock.go
+++ b/internal/quota/stock.go
@@ -68,6 +68,7 @@
 	shardCount uint32
 	spaces     map[string]*space
 	voting     votingState
+	arrivals   arrivals
 	nextID     uint64
 }
 
--- a/internal/quota/view.go
+++ b/internal/quota/view.go
@@ -7,14 +7,20 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	minShards = 2
-	maxShards = 2048
-	// nodesPerShard is the number of nodes for each shard in deployments with more than minShards of them.
+	// minShards is the number of shards of deployments of up to minDeployment nodes, and usualShards that of up to usualDeployment nodes. It
+	// changes rarely when these grow: nodes that divide the workspaces differently find no votes at their owners.
+	minShards       = 2
+	minDeployment   = 24
+	usualShards     = 8
+	usualDeployment = 512
+	maxShards       = 2048
+	// nodesPerShard is the number of nodes for each shard in larger deployments.
 	nodesPerShard = 8
 	// maxVoters is the number of nodes that vote on the owner of a shard in large deployments. It bounds the requests that an owner
 	// gets for votes alone. With fewer, the share of voters that a part of the deployment has would differ much from its share of nodes.
@@ -35,6 +41,11 @@
 	Live bool
 	// Left means that the node has announced that it stops.
 	Left bool
+	// Started is the start of the node's process by its own clock, or zero if it is not known.
+	Started time.Time
+	// New means that the node joined so recently that it does not count as a voter, Unproven that its votes are not accepted, and Young that
+	// others are preferred as owners because its process has just started.
+	New, Unproven, Young bool
 }
 
 // View holds the nodes that a node knows: those that are live, have left, or fell silent recently.
@@ -77,7 +88,7 @@
 	v := &View{members: members, hashes: make([]uint64, len(members)), ranked: map[shardKey][]string{}, voters: map[shardKey]int{}}
 	for i, m := range members {
 		v.hashes[i] = xxhash.Sum64String(m.Name)
-		if !m.Left {
+		if !m.Left && !m.New {
 			v.counted++
 		}
 	}
@@ -95,10 +106,13 @@
 
 // shardCount returns the number of shards, a power of two.
 func (v *View) shardCount() uint32 {
-	wanted := v.counted / nodesPerShard
-	if wanted <= minShards {
+	switch {
+	case v.counted <= minDeployment:
 		return minShards
+	case v.counted <= usualDeployment:
+		return usualShards
 	}
+	wanted := v.counted / nodesPerShard
 	return min(uint32(1)<<(bits.Len(uint(wanted))-1), maxShards)
 }
 
@@ -110,7 +124,8 @@
 	return x ^ x>>31
 }
 
-// candidates returns the live nodes that rank first as owner of a shard.
+// candidates returns the live nodes that rank first as owner of a shard. Processes that have just started have empty buckets, so that others
+// are preferred.
 func (v *View) candidates(key shardKey) []string {
 	if names, found := v.ranked[key]; found {
 		return names
@@ -121,7 +136,7 @@
 	}
 	var best []candidate
 	for i, m := range v.members {
-		if !m.Live || m.Left {
+		if !m.Live || m.Left || m.Young {
 			continue
 		}
 		c := candidate{name: m.Name, hash: mix(v.hashes[i], key)}
@@ -166,7 +181,7 @@
 	}
 	count := 0
 	for i, m := range v.members {
-		if !m.Left && v.isDrawn(v.hashes[i], key, 1+drawMargin) {
+		if !m.Left && !m.New && v.isDrawn(v.hashes[i], key, 1+drawMargin) {
 			count++
 		}
 	}
