--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -90,6 +90,8 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	viewAt time.Duration
+	// activeView means that there were quotas when the view was last due.
+	activeView bool
 }
 
 // New returns a limiter that knows no other nodes until Run is called.
@@ -221,17 +223,25 @@
 	}
 }
 
-// tick updates the view and sends what is due. The view is kept without quotas, too, so that the node can vote once there are some.
+// tick updates the view and sends what is due.
 func (l *Limiter) tick() {
+	l.updateViewIfDue()
 	l.mu.Lock()
-	due := l.clock.Read().Slow >= l.viewAt
+	defer l.mu.Unlock()
+	l.sendDue()
+}
+
+// updateViewIfDue updates the view at intervals, and as soon as there are quotas. A node gets its configuration after its first view, and
+// must not take itself for the only node until the next one. The view is kept without quotas, too, so that the node can vote once there are some.
+func (l *Limiter) updateViewIfDue() {
+	active := l.isActive()
+	l.mu.Lock()
+	due := l.clock.Read().Slow >= l.viewAt || active && !l.activeView
+	l.activeView = active
 	l.mu.Unlock()
 	if due {
 		l.updateView()
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.sendDue()
 }
 
 func (l *Limiter) updateView() {
--- a/internal/quota/limiter_test.go
+++ b/internal/quota/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -181,3 +182,35 @@
 		require.Empty(t, l.owner.ledgers)
 	}
 }
+
+// Guards against a node that takes itself for the only one for seconds after its start, since it sees the others only when its configuration
+// has come.
+func TestViewIsReadOnceThereAreQuotas(t *testing.T) {
+	var started atomic.Bool
+	quotas := map[string]Quota{"a": {Rate: 100}}
+	l := New(Config{
+		Node: "n", Now: time.Now, Bounds: simulatedBounds, Joined: started.Load,
+		Quotas: func() map[string]Quota {
+			if started.Load() {
+				return quotas
+			}
+			return nil
+		},
+		Members: func(time.Duration) []Member {
+			if started.Load() {
+				return []Member{{Name: "m", Live: true}, {Name: "n", Live: true}}
+			}
+			return []Member{{Name: "n", Live: true}}
+		},
+	})
+	known := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.stock.view.counted
+	}
+	l.updateView()
+	require.Equal(t, 1, known())
+	started.Store(true)
+	l.updateViewIfDue()
+	require.Equal(t, 2, known())
+}
