--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -116,6 +118,14 @@
 	return nil
 }
 
+// The limits of a machine.
+const (
+	machineMemoryMB    = 284
+	machineDescriptors = 4100
+)
+
+var emptySection = regexp.MustCompile(`(?m)^\s*\{\{#.*\{\{/.*\}\}\n`)
+
 // settings renders the template of the deploy file for a machine.
 func (d *deployment) settings(m *machine) (string, error) {
 	template, err := os.ReadFile("deploy/node.jsonc")
@@ -127,6 +137,7 @@
 		"node_name|json": quote(m.name), "zone|json": quote(m.zone), "service|json": quote(m.service),
 		"listen_addresses.outbound|json": quote(m.address(portOutbound)), "listen_addresses.inbound|json": quote(m.address(portInbound)),
 		"listen_addresses.control|json": quote(m.address(portControl)), "listen_addresses.ready|json": quote(m.address(portReady)),
+		"limits.memory_mb|json": strconv.Itoa(machineMemoryMB), "limits.file_descriptors|json": strconv.Itoa(machineDescriptors),
 		"ip_address": m.ip, "platform.address|json": quote(fmt.Sprintf("%s:%d", d.storeIP, portStore)),
 	}
 	for name, value := range d.bounds {
@@ -135,6 +146,8 @@
 	for name, value := range fields {
 		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
 	}
+	// The sections of the template hold bounds that this deployment does not have.
+	text = emptySection.ReplaceAllString(text, "")
 	if i := strings.Index(text, "{{"); i >= 0 {
 		return "", fmt.Errorf("the template has an unknown placeholder: %.40s", text[i:])
 	}
