--- a/internal/admit/least.go
+++ b/internal/admit/least.go
@@ -11,7 +11,7 @@
 func (l *Limiter) usesLeastLoss() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.loss == nil && l.cfg.Policy == PolicyAuto && l.queued == 0 && (l.pace.isReported() || l.cfg.HasWorkspaces()) {
+	if l.loss == nil && l.cfg.Policy == PolicyAuto && l.queued == 0 && (l.pace.IsReported() || l.cfg.HasWorkspaces()) {
 		l.loss = newLossQueue(l.cfg.Slots)
 	}
 	return l.loss != nil
@@ -58,11 +58,11 @@
 	}
 	c := &waitingCall{
 		waiter: waiter{decision: make(chan wirepb.Refusal, 1)}, request: request,
-		respondBy: respondBy(ctx, request, now), work: l.pace.scale(l.loss.work[request.Route], now),
+		respondBy: respondBy(ctx, request, now), work: l.pace.Scale(l.loss.work[request.Route], now),
 	}
 	l.loss.add(c, now)
 	l.queued++
-	nextSlot := now.Add(l.pace.scale(l.serviceTime, now) / time.Duration(l.cfg.Slots))
+	nextSlot := now.Add(l.pace.Scale(l.serviceTime, now) / time.Duration(l.cfg.Slots))
 	refusal := wirepb.Refusal_REFUSAL_UNSPECIFIED
 	for _, given := range l.loss.giveUp(nextSlot, l.cfg.QueueSize) {
 		l.queued--
--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -13,6 +13,10 @@
 const (
 	rankCount     = 2 * (int(wirepb.Class_CLASS_CRITICAL) + 1)
 	averageWeight = 0.1
+	// paceTTL is longer than the time between two responses of an upstream that is at work.
+	paceTTL = 300 * time.Millisecond
+	// paceMeanWeight covers the reports of some seconds.
+	paceMeanWeight = 0.02
 	// maxQueueTimeout applies to calls without RespondBy, whose wait ends at their deadline.
 	maxQueueTimeout = time.Hour
 	// serviceTimeMargin covers the spread of service times: with a standard deviation of 0.3 of the mean, nine in ten calls
@@ -84,7 +88,7 @@
 	// serviceTime is the moving average of the time that a call holds a slot, rankServiceTime the same by rank.
 	serviceTime     time.Duration
 	rankServiceTime [rankCount]time.Duration
-	pace            pace
+	pace            Pace
 	// loss orders the waiting calls with PolicyLeastLoss; it is nil with PolicyArrival.
 	loss *lossQueue
 }
@@ -99,7 +103,7 @@
 	if cfg.HasWorkspaces == nil {
 		cfg.HasWorkspaces = func() bool { return false }
 	}
-	l := &Limiter{cfg: cfg}
+	l := &Limiter{cfg: cfg, pace: NewPace(PaceConfig{TTL: paceTTL, MeanWeight: paceMeanWeight})}
 	if cfg.Policy == PolicyLeastLoss {
 		l.loss = newLossQueue(cfg.Slots)
 	}
@@ -161,7 +165,7 @@
 		return maxQueueTimeout
 	}
 	now := l.cfg.Now()
-	return request.RespondBy.Add(-l.pace.scale(l.rankServiceTime[request.rank()], now)).Sub(now)
+	return request.RespondBy.Add(-l.pace.Scale(l.rankServiceTime[request.rank()], now)).Sub(now)
 }
 
 // canMeetDeadlines reports whether a slot is expected before the deadline of the call, and its response by RespondBy. If
@@ -176,11 +180,11 @@
 		ahead += l.queues[r].Len()
 	}
 	now := l.cfg.Now()
-	slotAt := now.Add(l.pace.scale(l.serviceTime, now) * time.Duration(ahead) / time.Duration(l.cfg.Slots))
+	slotAt := now.Add(l.pace.Scale(l.serviceTime, now) * time.Duration(ahead) / time.Duration(l.cfg.Slots))
 	if deadline, found := ctx.Deadline(); found && !slotAt.Before(deadline) {
 		return false
 	}
-	serviceTime := l.pace.scale(l.rankServiceTime[request.rank()], now)
+	serviceTime := l.pace.Scale(l.rankServiceTime[request.rank()], now)
 	if ahead > 1 {
 		serviceTime = time.Duration(serviceTimeMargin * float64(serviceTime))
 	}
@@ -291,7 +295,7 @@
 func (l *Limiter) ObservePace(percent uint32) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pace.observe(percent, l.cfg.Now())
+	l.pace.Observe(percent, l.cfg.Now())
 }
 
 // Running returns the number of calls that hold a slot.
--- a/internal/admit/pace.go
+++ b/internal/admit/pace.go
@@ -3,25 +3,33 @@
 import "time"
 
 const (
-	// paceTTL is how long a reported pace is used: it changes several times a second.
-	paceTTL        = 300 * time.Millisecond
-	paceMeanWeight = 0.02
 	// minPaceFactor and maxPaceFactor bound what a report may change, since it may be wrong.
 	minPaceFactor = 0.5
 	maxPaceFactor = 4
 )
 
-// pace is how long work takes on an upstream's VM, as the upstream reports it.
-type pace struct {
+// PaceConfig configures a Pace.
+type PaceConfig struct {
+	// TTL is how long a report is used: the pace of an upstream changes several times a second.
+	TTL time.Duration
+	// MeanWeight is the weight of a report in the average of all.
+	MeanWeight float64
+}
+
+// Pace is how long work takes on an upstream's VM, as the upstream reports it. It is not safe for concurrent use.
+type Pace struct {
+	cfg        PaceConfig
 	percent    float64
 	reportedAt time.Time
 	// mean is the moving average of the reports. Measured service times include it.
 	mean float64
 }
 
-func (p *pace) isReported() bool { return p.mean > 0 }
+// NewPace returns a pace without a report.
+func NewPace(cfg PaceConfig) Pace { return Pace{cfg: cfg} }
 
-func (p *pace) observe(percent uint32, now time.Time) {
+// Observe records a report in percent of the usual time; 0 is none.
+func (p *Pace) Observe(percent uint32, now time.Time) {
 	if percent == 0 {
 		return
 	}
@@ -29,12 +37,18 @@
 	if p.mean == 0 {
 		p.mean = p.percent
 	}
-	p.mean += paceMeanWeight * (p.percent - p.mean)
+	p.mean += p.cfg.MeanWeight * (p.percent - p.mean)
 }
 
-// scale returns the time that work takes now, given its average time.
-func (p *pace) scale(average time.Duration, now time.Time) time.Duration {
-	if p.mean == 0 || now.Sub(p.reportedAt) > paceTTL {
+// IsReported reports whether there has been a report.
+func (p *Pace) IsReported() bool { return p.mean > 0 }
+
+// IsFresh reports whether the newest report may still be used.
+func (p *Pace) IsFresh(now time.Time) bool { return p.mean > 0 && now.Sub(p.reportedAt) <= p.cfg.TTL }
+
+// Scale returns the time that work takes now, given its average time.
+func (p *Pace) Scale(average time.Duration, now time.Time) time.Duration {
+	if !p.IsFresh(now) {
 		return average
 	}
 	return time.Duration(min(max(p.percent/p.mean, minPaceFactor), maxPaceFactor) * float64(average))
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/netip"
@@ -145,18 +144,23 @@
 const maxEvidenceReplyBytes = 1 << 20
 
 func sendEvidence(ctx context.Context, pool *peer.Pool, address netip.AddrPort, report *wirepb.EvidenceReport) (*wirepb.EvidenceReply, error) {
+	reply := &wirepb.EvidenceReply{}
+	return reply, exchange(ctx, pool, address, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Evidence{Evidence: report}}, reply, maxEvidenceReplyBytes)
+}
+
+// exchange sends a message other than a call to a node and reads the reply.
+func exchange(ctx context.Context, pool *peer.Pool, address netip.AddrPort, message *wirepb.StreamHead, reply proto.Message, maxReplyBytes int64) error {
 	stream, err := pool.OpenStream(ctx, address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stop()
-	if err := frame.Write(stream, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Evidence{Evidence: report}}); err != nil {
-		return nil, err
+	if err := stream.Send(ctx, message); err != nil {
+		return err
 	}
-	reply := &wirepb.EvidenceReply{}
-	return reply, frame.Read(bufio.NewReader(stream), reply, maxEvidenceReplyBytes)
+	return frame.Read(stream.Reader, reply, maxReplyBytes)
 }
 
 // quotaSource returns the quotas in force by workspace. It is called for each call of a workspace, so that it must not build the map.
@@ -223,18 +227,8 @@
 const maxQuotaReplyBytes = 1 << 20
 
 func sendQuota(ctx context.Context, pool *peer.Pool, address netip.AddrPort, request *wirepb.QuotaRequest) (*wirepb.QuotaReply, error) {
-	stream, err := pool.OpenStream(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	defer stop()
-	if err := stream.Send(ctx, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Quota{Quota: request}}); err != nil {
-		return nil, err
-	}
 	reply := &wirepb.QuotaReply{}
-	return reply, frame.Read(stream.Reader, reply, maxQuotaReplyBytes)
+	return reply, exchange(ctx, pool, address, &wirepb.StreamHead{Kind: &wirepb.StreamHead_Quota{Quota: request}}, reply, maxQuotaReplyBytes)
 }
 
 func newDepartures(s *conf.Settings, logger *zap.Logger, now clock, client *store.Client) *depart.Ledger {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -245,7 +245,7 @@
 func (c *candidate) cost(now time.Time) time.Duration {
 	perSlot := time.Duration(c.stats.inFlight+1) * time.Millisecond / time.Duration(max(c.upstream.Slots, 1))
 	once := perSlot + c.stats.latency*time.Duration(c.stats.inFlight+1)
-	if c.stats.load.meanPace > 0 {
+	if c.stats.load.pace.IsReported() {
 		once = perSlot + c.stats.load.expectedTime(c.stats.latency, c.stats.inFlight, c.upstream.Slots, now)
 	}
 	return time.Duration(float64(once) / (1 - min(c.stats.faultRate, maxCostFaultRate)))
@@ -301,7 +301,7 @@
 	id := statsKey{node: u.Node, life: u.Life, service: key.service, version: u.Version}
 	s, found := p.stats[id]
 	if !found {
-		s = &stats{}
+		s = &stats{load: newReportedLoad()}
 		p.stats[id] = s
 	}
 	return s
