--- a/internal/admit/loss_test.go
+++ b/internal/admit/loss_test.go
@@ -234,3 +234,20 @@
 	requireNoneStarved(t, result)
 	require.Greater(t, float64(result[0].onTime)/float64(result[0].offered), float64(result[2].onTime)/float64(result[2].offered))
 }
+
+// Guards against several short calls that are given up because a long one has to start first.
+func TestLongCallIsGivenUpForShortOnes(t *testing.T) {
+	now := time.Unix(0, 0)
+	q := newLossQueue(1)
+	add := func(name string, work, due time.Duration) {
+		q.add(&waitingCall{request: Request{Class: normal, Route: name}, work: work, respondBy: now.Add(due)}, now)
+	}
+	add("long", 300*time.Millisecond, 500*time.Millisecond)
+	for range 3 {
+		add("short", 50*time.Millisecond, 350*time.Millisecond)
+	}
+	givenUp := q.giveUp(now.Add(50*time.Millisecond), 8)
+	require.Len(t, givenUp, 1)
+	require.Equal(t, "long", givenUp[0].request.Route)
+	require.Len(t, q.waiting, 3)
+}
