--- /dev/null
+++ b/pkg/cmd/configuration/diff/doc.go
@@ -0,0 +1,2 @@
+// Package diff is the command that compares two operator's configurations.
+package diff
--- a/pkg/cmd/factory/output.go
+++ b/pkg/cmd/factory/output.go
@@ -1,6 +1,7 @@
 package factory
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"text/tabwriter"
@@ -41,6 +42,16 @@
 	return errors.Wrap(err, "print JSON")
 }
 
+// PrintValue prints a value that is no message as JSON.
+func (f *Factory) PrintValue(value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode JSON")
+	}
+	_, err = fmt.Fprintln(f.Out, string(data))
+	return errors.Wrap(err, "print JSON")
+}
+
 // Infof prints a line of progress or information to the error stream.
 func (f *Factory) Infof(format string, values ...any) {
 	_, _ = fmt.Fprintf(f.ErrOut, format+"\n", values...)
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/turmericdale/turmericdale/pkg/cmd/configuration"
 	"github.com/turmericdale/turmericdale/pkg/cmd/factory"
 	"github.com/turmericdale/turmericdale/pkg/cmd/move"
 	"github.com/turmericdale/turmericdale/pkg/cmd/node"
@@ -33,7 +34,7 @@
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &factory.FlagError{Detail: err.Error()}
 	})
-	cmd.AddCommand(node.NewCmdNode(f), setting.NewCmdSetting(f), move.NewCmdMove(f), version.NewCmdVersion(f))
+	cmd.AddCommand(node.NewCmdNode(f), configuration.NewCmdConfiguration(f), setting.NewCmdSetting(f), move.NewCmdMove(f), version.NewCmdVersion(f))
 	return cmd
 }
 
