Observe feeds of the platform that fail

The feed is the only operation that was neither observed nor logged, since it waits for changes by design.

A feed that fails is now observed like any other operation: it shows up in platform_seconds and as 'slow platform operation'. Feeds that are answered or cancelled by their caller stay out.

TestFailedFeedsAreObserved fails without the change.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -49,8 +49,8 @@
 	Timeout time.Duration
 	// Dial opens connections; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Observe receives the name, the duration and the error of each operation but the feed, which waits for changes; nil means
-	// that nothing does.
+	// Observe receives the name, the duration and the error of each operation; of feeds, which wait for changes, only those that fail.
+	// Nil means that nothing does.
 	Observe func(operation string, took time.Duration, err error)
 	// Logger logs changes of the store's era; nil means that nothing is logged.
 	Logger *zap.Logger
@@ -319,7 +319,7 @@
 	started := time.Now()
 	response, mayHaveRun, err := c.send(httpRequest)
 	c.recordResult(ctx, err)
-	if operation != operationFeed {
+	if operation != operationFeed || isFailure(ctx, err) {
 		c.observe(operation, time.Since(started), err)
 	}
 	return response, mayHaveRun, err
@@ -349,14 +349,18 @@
 	return answer{body: body, era: era}, true, nil
 }
 
-// recordResult updates the reachability and the failure count; an operation that its caller cancelled
-// says nothing about the platform.
+// isFailure reports whether an operation failed; one that its caller cancelled says nothing about the platform.
+func isFailure(ctx context.Context, err error) bool {
+	return err != nil && !errors.Is(ctx.Err(), context.Canceled)
+}
+
+// recordResult updates the reachability and the failure count.
 func (c *Client) recordResult(ctx context.Context, err error) {
 	var status *StatusError
 	switch {
 	case err == nil, errors.As(err, &status) && status.Status < http.StatusInternalServerError && !platform.IsUnavailable(status.Status):
 		c.unreachable.Store(false)
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case isFailure(ctx, err):
 		c.Counters.Failures.Add(1)
 		c.unreachable.Store(true)
 	}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -140,3 +140,25 @@
 		})
 	}
 }
+
+// Guards against a feed that is never answered and leaves no trace in logs and metrics.
+func TestFailedFeedsAreObserved(t *testing.T) {
+	for status, observed := range map[int][]string{http.StatusOK: nil, http.StatusInternalServerError: {operationFeed}} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte(`{"rows":[]}`))
+			}))
+			t.Cleanup(server.Close)
+			var operations []string
+			c := New(Config{
+				Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+				Observe: func(operation string, _ time.Duration, _ error) { operations = append(operations, operation) },
+			})
+			t.Cleanup(c.Close)
+			_, err := c.Feed(t.Context(), "op", 1, time.Second)
+			require.Equal(t, status != http.StatusOK, err != nil)
+			require.Equal(t, observed, operations)
+		})
+	}
+}
