Read the operator's table soon after a silence of the store

Cause: importers wait for changes in a feed of up to 12 s. A store that falls silent never answers what it has taken, on connections that are sound for TCP, so that keep-alive sees nothing. All importers start their feeds together after each change, so all of them wait in such a feed at once: the one before gave up within the silence, and its successor was lost in it, too. A wait without an answer passed for 'nothing changed'.

Change: - The client of the store abandons operations that were sent earlier as soon as a later one is answered after one that was not. This covers every long wait, not only the feed; a write that is abandoned has an unknown outcome, as after its timeout. - The first two importers wait for 1 s instead of 10 s, so that a lost answer costs less than the time limit of a configuration, also if no other operation notices a short silence. The others keep 10 s and rely on the first point, since operations are charged. - After a feed that failed the table is read without a wait. - The interval between polls of a relay counts from the start of a poll: one that was not answered for 2 s is repeated at once.

--- a/internal/emul/platform.go
+++ b/internal/emul/platform.go
@@ -20,6 +20,8 @@
 type PlatformFaults struct {
 	// Down makes every operation fail with status 503.
 	Down bool `json:"down"`
+	// Silent makes every operation that arrives or is being carried out go unanswered for good, while its connection stays open.
+	Silent bool `json:"silent"`
 	// Delay is added to each operation.
 	Delay time.Duration `json:"delay"`
 	// ResponseLossRate is the share of writes, 0 to 1, that take effect but get no response.
@@ -52,9 +54,11 @@
 	// changed is closed and replaced whenever rows change or the history expires.
 	changed chan struct{}
 	faults  PlatformFaults
-	random  *rand.Rand
-	reads   uint64
-	writes  uint64
+	// silences is the number of times that the platform has fallen silent.
+	silences int
+	random   *rand.Rand
+	reads    uint64
+	writes   uint64
 	// era increases with each return from a copy; namesEra says that responses name it.
 	era      uint64
 	namesEra bool
@@ -121,6 +125,9 @@
 func (p *Platform) SetFaults(faults PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if faults.Silent && !p.faults.Silent {
+		p.silences++
+	}
 	p.faults = faults
 }
 
@@ -135,7 +142,7 @@
 func (p *Platform) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Use(p.nameEra)
-	platform.RegisterStore(r, platform.StoreBackend{
+	platform.RegisterStore(r.With(p.injectSilence), platform.StoreBackend{
 		Admit: p.admitTransaction, Transact: p.transact, Rows: p.findRows, Feed: p.feed,
 		PutObject: p.putObject, Object: p.getObject, DeleteObject: p.deleteObject,
 		InjectReadFaults: p.injectReadFaults, InjectWriteFaults: p.injectWriteFaults,
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -26,6 +26,7 @@
 	// isolatedPollInterval bounds the poll interval of a node that is not a relay: such a node polls only while it has
 	// no parent or is promoted, and then has nothing else to wait for.
 	isolatedPollInterval = 500 * time.Millisecond
+	minPollDelay         = 50 * time.Millisecond
 	pollsPerRenewal      = 2
 	leaveTimeout         = time.Second
 	// dataCentreLostTimeout is how long no lease of a data centre must have been renewed before its nodes count as
@@ -49,13 +50,14 @@
 func (h *Hub) pollLoop(ctx context.Context) {
 	rounds := 0
 	for ctx.Err() == nil {
+		started := h.cfg.Now()
 		if h.needsPlatform() {
 			h.pollPlatform(ctx, rounds)
 			rounds++
 		} else if h.untilOutOfTouch() <= 0 {
 			h.readChanges(ctx)
 		}
-		timer := time.NewTimer(h.pollDelay())
+		timer := time.NewTimer(h.pollDelay(h.cfg.Now().Sub(started)))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -65,13 +67,14 @@
 	}
 }
 
-// pollDelay returns the jittered time to the next poll, or the time until the parents count as out of touch if that is shorter.
-func (h *Hub) pollDelay() time.Duration {
+// pollDelay returns the jittered time to the next poll after one that took some time, or the time until the parents count as out of touch if
+// that is shorter. A poll that was not answered in time is followed by the next one sooner.
+func (h *Hub) pollDelay(took time.Duration) time.Duration {
 	interval := h.cfg.PollInterval
 	if !h.IsRelay() {
 		interval = min(interval, isolatedPollInterval)
 	}
-	delay := interval*3/4 + rand.N(interval/2)
+	delay := max(interval*3/4+rand.N(interval/2)-took, minPollDelay)
 	if wait := h.untilOutOfTouch(); wait > 0 {
 		delay = min(delay, wait)
 	}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -280,3 +280,29 @@
 	}
 	require.GreaterOrEqual(t, nodes, expectedNodes)
 }
+
+// Guards against a relay that notices late that the platform answers again, since it pauses after a poll that was not answered.
+func TestUnansweredPollIsRepeatedSoon(t *testing.T) {
+	h := newHub()
+	h.cfg.PollInterval = 2 * time.Second
+	h.setRelay(true)
+	tests := []struct {
+		name     string
+		took     time.Duration
+		min, max time.Duration
+	}{
+		{"answered at once", 0, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		{"answered after a while", time.Second, 500 * time.Millisecond, 1500 * time.Millisecond},
+		{"not answered", 2 * time.Second, minPollDelay, 500 * time.Millisecond},
+		{"several operations not answered", 6 * time.Second, minPollDelay, minPollDelay},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for range 100 {
+				delay := h.pollDelay(tt.took)
+				require.GreaterOrEqual(t, delay, tt.min)
+				require.LessOrEqual(t, delay, tt.max)
+			}
+		})
+	}
+}
--- a/internal/source/era.go
+++ b/internal/source/era.go
@@ -52,11 +52,11 @@
 	return i.era == 0 || era >= i.era && i.cfg.Now().Sub(established) >= missingRowDelay
 }
 
-// feedWait returns how long to wait for changes: no longer than until missing rows count as removed.
-func (i *Importer) feedWait() time.Duration {
+// untilMissingRowsCount returns the time until missing rows count as removed, if they do not yet.
+func (i *Importer) untilMissingRowsCount() (time.Duration, bool) {
 	if i.era == 0 || i.isMissingRowRemoved() {
-		return feedTimeout
+		return 0, false
 	}
 	_, established := i.cfg.Log.EstablishedEra()
-	return min(feedTimeout, max(missingRowDelay-i.cfg.Now().Sub(established), minFeedWait))
+	return missingRowDelay - i.cfg.Now().Sub(established), true
 }
--- a/internal/source/era_test.go
+++ b/internal/source/era_test.go
@@ -94,7 +94,7 @@
 func newUnstarted(t *testing.T, era uint64, since time.Duration) *Importer {
 	t.Helper()
 	log := oplog.New(oplog.Config{Logger: zap.NewNop(), Now: time.Now})
-	i := New(Config{Logger: zap.NewNop(), Now: time.Now, Log: log})
+	i := New(Config{Logger: zap.NewNop(), Now: time.Now, Log: log, Rank: func() int { return laterRank }})
 	i.era, i.eraSince = era, time.Now().Add(-since)
 	return i
 }
@@ -138,17 +138,17 @@
 // Guards against a row that counts as removed only because the restored copy lacks it.
 func TestMissingRowsAfterANewEra(t *testing.T) {
 	require.True(t, newUnstarted(t, 0, 0).isMissingRowRemoved())
-	require.Equal(t, feedTimeout, newUnstarted(t, 0, 0).feedWait())
+	require.Equal(t, feedWait, newUnstarted(t, 0, 0).nextFeedWait())
 	require.False(t, newUnstarted(t, 1, time.Hour).isMissingRowRemoved())
 	f := newFixtureFor(t, emul.PlatformConfig{Seed: 1, NamesEra: true, Era: 1})
 	log := f.start(0)
 	f.platform.PutRow(platform.OperatorTable, "config", encodeConfig(t, 1, 1))
 	f.waitForEra(log, 1)
 	now := time.Now()
-	i := New(Config{Logger: zap.NewNop(), Now: func() time.Time { return now }, Log: log})
+	i := New(Config{Logger: zap.NewNop(), Now: func() time.Time { return now }, Log: log, Rank: func() int { return laterRank }})
 	i.enterEra(1)
 	require.False(t, i.isMissingRowRemoved())
-	require.LessOrEqual(t, i.feedWait(), missingRowDelay)
+	require.LessOrEqual(t, i.nextFeedWait(), missingRowDelay)
 	now = now.Add(missingRowDelay + time.Second)
 	require.True(t, i.isMissingRowRemoved())
 }
--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -21,8 +21,16 @@
 )
 
 const (
-	// feedTimeout bounds one wait for changes; keep-alive detects a dead connection earlier.
-	feedTimeout = 10 * time.Second
+	// feedWait is how long the importers that back up others wait for changes, promptFeedWait how long the first promptImporters do. An
+	// answer that is lost looks like an unchanged table until the wait is over, so the first importers wait for less than the users' time
+	// limit for configuration; the others save operations, which are charged.
+	feedWait        = 10 * time.Second
+	promptFeedWait  = time.Second
+	promptImporters = 2
+	// feedPatience is how long the answer to a feed may take beyond its wait. It doubles with each of the first feeds in a row that are not
+	// answered, so that a slow store is read all the same.
+	feedPatience         = 500 * time.Millisecond
+	maxPatienceDoublings = 2
 	// rankDelay, times its rank, is how long an importer waits for those of lower rank to commit a row: a commit takes a few
 	// round trips.
 	rankDelay = 120 * time.Millisecond
@@ -56,7 +64,9 @@
 	cfg Config
 	// cursor is the version up to which the table has been read; 0 means that the whole table must be read.
 	cursor uint64
-	rows   map[string]*wirepb.Row
+	// unanswered is the number of feeds in a row that failed.
+	unanswered int
+	rows       map[string]*wirepb.Row
 	// fullRead is the newest read of the whole table, or nil once the evacuations that it lacks have been found.
 	fullRead *fullRead
 	// readAt holds the times at which the rows were read.
@@ -99,15 +109,17 @@
 	if i.cursor == 0 {
 		return i.readTable(ctx)
 	}
-	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, i.feedWait())
+	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, i.nextFeedWait(), i.nextFeedPatience())
 	var expired *store.HistoryExpiredError
 	if errors.As(err, &expired) {
 		i.cfg.Logger.Info("change history expired; reading the whole operator table", zap.Uint64("after_version", i.cursor))
 		return i.readTable(ctx)
 	}
 	if err != nil {
+		i.unanswered++
 		return err
 	}
+	i.unanswered = 0
 	if changed.Era != i.era {
 		return i.readTable(ctx)
 	}
@@ -115,6 +127,25 @@
 	return nil
 }
 
+// nextFeedWait returns how long to wait for changes. After a feed that failed, the table is read without a wait: changes may have been missed.
+func (i *Importer) nextFeedWait() time.Duration {
+	wait := feedWait
+	switch {
+	case i.unanswered > 0:
+		return 0
+	case i.cfg.Rank() < promptImporters:
+		wait = promptFeedWait
+	}
+	if remaining, pending := i.untilMissingRowsCount(); pending {
+		wait = min(wait, max(remaining, minFeedWait))
+	}
+	return wait
+}
+
+func (i *Importer) nextFeedPatience() time.Duration {
+	return feedPatience << min(i.unanswered, maxPatienceDoublings)
+}
+
 func (i *Importer) readTable(ctx context.Context) error {
 	from, first, present := "", uint64(0), map[string]bool{}
 	for {
--- a/internal/source/import_test.go
+++ b/internal/source/import_test.go
@@ -52,7 +52,12 @@
 // start runs the oplog and the importer of a node until the test ends.
 func (f *fixture) start(rank int) *oplog.Log {
 	f.t.Helper()
-	client := store.New(store.Config{Address: f.address, Timeout: time.Second})
+	return f.startWith(store.New(store.Config{Address: f.address, Timeout: time.Second}), rank)
+}
+
+// startWith is start for a client of the store, which it closes.
+func (f *fixture) startWith(client *store.Client, rank int) *oplog.Log {
+	f.t.Helper()
 	log := oplog.New(oplog.Config{Store: client, Logger: zap.NewNop(), Now: time.Now, ExportRows: StatusRows})
 	i := New(Config{
 		Logger: zap.NewNop(), Now: time.Now, Store: client, Log: log, Rank: func() int { return rank },
@@ -214,7 +219,7 @@
 	t.Cleanup(server.Close)
 	client := store.New(store.Config{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Timeout: time.Second})
 	t.Cleanup(client.Close)
-	i := New(Config{Logger: zap.NewNop(), Now: time.Now, Store: client})
+	i := New(Config{Logger: zap.NewNop(), Now: time.Now, Store: client, Rank: func() int { return 0 }})
 	require.NoError(t, i.readChanges(t.Context()))
 	require.NoError(t, i.readChanges(t.Context()))
 	require.Equal(t, "new", string(i.rows[key].GetValue()))
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -65,6 +65,7 @@
 	observe     func(operation string, took time.Duration, err error)
 	http        *http.Client
 	unreachable atomic.Bool
+	inFlight    inFlight
 	logger      *zap.Logger
 	eras        eraState
 }
@@ -225,9 +226,13 @@
 	return rows, nil
 }
 
-// Feed waits, for at most wait, for rows of a table that changed after a version; it returns *HistoryExpiredError or *UnavailableError.
-func (c *Client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (*platform.Rows, error) {
-	body, era, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+c.timeout)
+// Feed waits, for at most wait, for rows of a table that changed after a version. The answer may take longer by the patience; zero means the
+// timeout of other operations. It returns *HistoryExpiredError or *UnavailableError.
+func (c *Client) Feed(ctx context.Context, table string, after uint64, wait, patience time.Duration) (*platform.Rows, error) {
+	if patience == 0 {
+		patience = c.timeout
+	}
+	body, era, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+patience)
 	var status *StatusError
 	if errors.As(err, &status) && platform.IsHistoryExpired(status.Status) {
 		return nil, &HistoryExpiredError{Table: table, After: after}
@@ -309,8 +314,11 @@
 
 // do sends a request and returns the response and, with an error, whether the platform may have carried it out.
 func (c *Client) do(ctx context.Context, operation string, request platform.StoreRequest, timeout time.Duration) (answer, bool, error) {
+	ctx, abandon := context.WithCancelCause(ctx)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	number := c.inFlight.begin(abandon)
+	defer c.inFlight.end(number)
 	httpRequest, err := http.NewRequestWithContext(ctx, request.Method, c.baseURL+request.Target, bytes.NewReader(request.Body))
 	if err != nil {
 		return answer{}, false, errors.Wrap(err, "build platform request")
@@ -319,6 +327,13 @@
 	started := time.Now()
 	response, mayHaveRun, err := c.send(httpRequest)
 	c.recordResult(ctx, err)
+	var unanswered *NoResponseError
+	switch {
+	case !errors.As(err, &unanswered):
+		c.inFlight.recordAnswer(number)
+	case isFailure(ctx, err):
+		c.inFlight.recordLoss()
+	}
 	if operation != operationFeed || isFailure(ctx, err) {
 		c.observe(operation, time.Since(started), err)
 	}
@@ -328,12 +343,12 @@
 func (c *Client) send(request *http.Request) (answer, bool, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
-		return answer{}, !isDialError(err), errors.Wrap(err, "send platform request")
+		return answer{}, !isDialError(err), &NoResponseError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
-		return answer{}, true, errors.Wrap(err, "read platform response")
+		return answer{}, true, &NoResponseError{Cause: err}
 	}
 	if len(body) > maxResponseBytes {
 		return answer{}, true, &ResponseTooLargeError{Limit: maxResponseBytes}
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -38,6 +38,25 @@
 	return fmt.Sprintf("platform responded with status %d: %s", e.Status, e.Body)
 }
 
+// NoResponseError says that an operation ended without a complete response.
+type NoResponseError struct {
+	Cause error
+}
+
+func (e *NoResponseError) Error() string {
+	return fmt.Sprintf("no response from the platform: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NoResponseError) Unwrap() error { return e.Cause }
+
+// AbandonedError says that an operation was given up since the platform had not responded for a while and then responded to a later one.
+type AbandonedError struct{}
+
+func (e *AbandonedError) Error() string {
+	return "abandoned: the platform responded to a later operation after a silence"
+}
+
 // NotFoundError says that an object does not exist.
 type NotFoundError struct {
 	Name string
