--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -57,7 +57,11 @@
 		} else if h.untilOutOfTouch() <= 0 {
 			h.readChanges(ctx)
 		}
-		timer := time.NewTimer(h.pollDelay(h.cfg.Now().Sub(started)))
+		waited := time.Duration(0)
+		if !h.cfg.Store.IsReachable() {
+			waited = h.cfg.Now().Sub(started)
+		}
+		timer := time.NewTimer(h.pollDelay(waited))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -67,14 +71,14 @@
 	}
 }
 
-// pollDelay returns the jittered time to the next poll after one that took some time, or the time until the parents count as out of touch if
-// that is shorter. A poll that was not answered in time is followed by the next one sooner.
-func (h *Hub) pollDelay(took time.Duration) time.Duration {
+// pollDelay returns the jittered time to the next poll, or the time until the parents count as out of touch if that is shorter. After a poll
+// that failed, the time that it waited in vain counts.
+func (h *Hub) pollDelay(waited time.Duration) time.Duration {
 	interval := h.cfg.PollInterval
 	if !h.IsRelay() {
 		interval = min(interval, isolatedPollInterval)
 	}
-	delay := max(interval*3/4+rand.N(interval/2)-took, minPollDelay)
+	delay := max(interval*3/4+rand.N(interval/2)-waited, minPollDelay)
 	if wait := h.untilOutOfTouch(); wait > 0 {
 		delay = min(delay, wait)
 	}
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -288,18 +288,18 @@
 	h.setRelay(true)
 	tests := []struct {
 		name     string
-		took     time.Duration
+		waited   time.Duration
 		min, max time.Duration
 	}{
-		{"answered at once", 0, 1500 * time.Millisecond, 2500 * time.Millisecond},
-		{"answered after a while", time.Second, 500 * time.Millisecond, 1500 * time.Millisecond},
+		{"answered", 0, 1500 * time.Millisecond, 2500 * time.Millisecond},
+		{"failed after a while", time.Second, 500 * time.Millisecond, 1500 * time.Millisecond},
 		{"not answered", 2 * time.Second, minPollDelay, 500 * time.Millisecond},
 		{"several operations not answered", 6 * time.Second, minPollDelay, minPollDelay},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for range 100 {
-				delay := h.pollDelay(tt.took)
+				delay := h.pollDelay(tt.waited)
 				require.GreaterOrEqual(t, delay, tt.min)
 				require.LessOrEqual(t, delay, tt.max)
 			}
