Do not take leases for lapsed that nobody could renew

Found by looking for the cause of the late configurations elsewhere: a silence of the store that passes for a statement. No caller was seen to suffer from it.

A lease of a relay lapses 8 s after an observer last saw it renewed. In a silence of the store nobody renews and nobody sees anything, but the time counted. During the silence relays promoted children for slots that were held; after it, the first node that read the leases took such a slot, so that a data centre had three relays until the old one noticed and closed its links.

Leases are now judged as of their last read, and a gap of more than half a lease between two reads gives each lease its whole duration again. Holders that are gone are noticed as before: connections to them are refused, or their leases lapse 8 s after the store is back.

Ruled out: the gap of three polls that relays count as current for; a slow store makes such gaps by itself, and leases would not lapse for as long.

--- a/internal/relay/hub.go
+++ b/internal/relay/hub.go
@@ -83,6 +83,8 @@
 	leaving  bool
 	// leases holds the relay leases as last read, by key.
 	leases map[string]*observedLease
+	// leasesReadAt is when the leases were last read.
+	leasesReadAt time.Time
 	// leasesEra is the store's era in which the leases were read last, heldSlot the slot that this node held and heldEra the era in which it
 	// did; rowsEra is the era in which the rows of the nodes were last made complete.
 	leasesEra uint64
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -168,6 +168,7 @@
 	defer h.mu.Unlock()
 	seen := map[string]bool{}
 	h.leasesEra = era
+	h.recordLeasesRead()
 	for _, row := range rows {
 		seen[row.GetKey()] = true
 		h.observeLease(row, era)
@@ -181,6 +182,18 @@
 	return nil
 }
 
+// recordLeasesRead records that the leases have been read. Holders could not renew them either while the platform did not respond, so that
+// after a gap each lease is given its whole duration again. h.mu must be held.
+func (h *Hub) recordLeasesRead() {
+	now := h.cfg.Now()
+	if now.Sub(h.leasesReadAt) > leaseDuration/2 {
+		for _, o := range h.leases {
+			o.changedAt = now
+		}
+	}
+	h.leasesReadAt = now
+}
+
 // relaysInWAN returns for the address of each relay whether it is in another data centre. h.mu must be held.
 func (h *Hub) relaysInWAN() map[netip.AddrPort]bool {
 	wan := make(map[netip.AddrPort]bool, len(h.leases))
@@ -208,8 +221,9 @@
 	}
 }
 
+// isInForce reports whether a lease was in force when the leases were last read: nothing is known about it since. h.mu must be held.
 func (h *Hub) isInForce(o *observedLease) bool {
-	return !o.void && h.cfg.Now().Sub(o.changedAt) < leaseDuration
+	return !o.void && h.leasesReadAt.Sub(o.changedAt) < leaseDuration
 }
 
 // usableLeases returns the leases in force, ordered by key. A node that is not a relay does not keep its leases current
