Keep connections that are about to close from using up the descriptors

Cause: callers may hold three quarters of the descriptors, but the limit was checked after a connection had been accepted, and one that was being closed for a new one counted as closed at once. On a busy processor the accept loop ran ahead of both.

Now at most eight connections beyond the limit are open at a time; the accept loop waits for them to end, and callers wait in the backlog. They end soon, since they are idle or refused. Not taken: a smaller share for callers, which changes what they get and only moves the edge.

TestEndingConnectionsHoldFewDescriptors fails without the change.

--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -7,16 +7,20 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/turmericdale/turmericdale/internal/budget"
+	"github.com/turmericdale/turmericdale/internal/emul"
 )
 
 const (
@@ -226,3 +230,76 @@
 	s.CloseConnections()
 	require.NoError(t, <-served)
 }
+
+// endingListener counts the connections whose descriptors are open. Closing one takes endingTime, as on a busy processor, until atOnce is set.
+type endingListener struct {
+	net.Listener
+	accepted, open, most int32
+	mu                   sync.Mutex
+	atOnce               atomic.Bool
+}
+
+const endingTime = 100 * time.Millisecond
+
+func (l *endingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.count(1)
+	return &endingConn{Conn: conn, end: sync.OnceFunc(func() {
+		if !l.atOnce.Load() {
+			time.Sleep(endingTime)
+		}
+		l.count(-1)
+	})}, nil
+}
+
+func (l *endingListener) count(change int32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepted += max(change, 0)
+	l.open += change
+	l.most = max(l.most, l.open)
+}
+
+type endingConn struct {
+	net.Conn
+	end func()
+}
+
+func (c *endingConn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// Guards against a crowd that connects faster than its connections are closed for each other, so that no descriptor is left for upstreams,
+// nodes and the platform.
+func TestEndingConnectionsHoldFewDescriptors(t *testing.T) {
+	const maxConnections, callers = 4, 100
+	synctest.Test(t, func(t *testing.T) {
+		network, host := emul.NewNetwork(), netip.AddrPort{}
+		listener := &endingListener{Listener: network.Listen(host)}
+		s := New(Config{
+			Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), MaxConnections: maxConnections,
+			Limits: func() Limits {
+				return Limits{MaxHeaderBytes: memoryHeadBytes, MaxBodyBytes: 1, HeaderTimeout: time.Hour, IdleTimeout: time.Hour}
+			},
+		})
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(context.Background(), listener) }()
+		for range callers {
+			go func() { _, _ = network.Dial(context.Background(), host, host) }()
+		}
+		time.Sleep(callers * endingTime)
+		listener.mu.Lock()
+		require.EqualValues(t, callers, listener.accepted, "all callers are accepted in the end")
+		require.LessOrEqual(t, listener.most, int32(maxConnections+maxEndingConnections))
+		listener.mu.Unlock()
+		// The server closes its connections with its mutex locked, under which virtual time does not pass.
+		listener.atOnce.Store(true)
+		require.NoError(t, listener.Close())
+		s.CloseConnections()
+		require.NoError(t, <-served)
+	})
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -28,9 +28,11 @@
 	minWriteRate  = 64 << 10
 	maxWriteBytes = 64 << 10
 	// minAcceptDelay and maxAcceptDelay bound the pause after the process had no descriptor for a connection.
-	minAcceptDelay  = 5 * time.Millisecond
-	maxAcceptDelay  = 200 * time.Millisecond
-	readBufferBytes = 4 << 10
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = 200 * time.Millisecond
+	// maxEndingConnections is the number of accepted connections beyond MaxConnections, which are closed for others or refused.
+	maxEndingConnections = 8
+	readBufferBytes      = 4 << 10
 	// emptyBacklogWait is how long Accept waits at a time while the listener is being closed, and maxEmptyWaits after how many waits in
 	// a row without a connection it is closed. A wait may be over before Accept has looked whether a connection waits.
 	emptyBacklogWait  = 20 * time.Millisecond
@@ -90,6 +92,8 @@
 	// serveEnded is closed when Serve accepts no further connection.
 	serveEnded chan struct{}
 	wait       sync.WaitGroup
+	// descriptors holds a token for each connection that is accepted or may be next; nil means that they are not limited.
+	descriptors chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -117,7 +121,11 @@
 	if cfg.OnAbandoned == nil {
 		cfg.OnAbandoned = func() {}
 	}
-	return &Server{cfg: cfg, conns: map[*conn]bool{}, serveEnded: make(chan struct{})}
+	s := &Server{cfg: cfg, conns: map[*conn]bool{}, serveEnded: make(chan struct{})}
+	if cfg.MaxConnections > 0 {
+		s.descriptors = make(chan struct{}, cfg.MaxConnections+maxEndingConnections)
+	}
+	return s
 }
 
 // deadlineListener is a listener whose Accept can be woken.
@@ -131,7 +139,11 @@
 	defer close(s.serveEnded)
 	emptyWaits, delay := 0, time.Duration(0)
 	for {
+		s.acquireDescriptor()
 		accepted, err := listener.Accept()
+		if err != nil {
+			s.releaseDescriptor()
+		}
 		var netErr net.Error
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -160,7 +172,24 @@
 			return errors.Wrap(err, "accept connection of a caller")
 		}
 		emptyWaits, delay = 0, 0
-		s.wait.Go(func() { s.serveConn(ctx, accepted) })
+		s.wait.Go(func() {
+			defer s.releaseDescriptor()
+			s.serveConn(ctx, accepted)
+		})
+	}
+}
+
+// acquireDescriptor waits while maxEndingConnections more connections than are allowed have been accepted: those beyond end soon, but each holds
+// a descriptor until then.
+func (s *Server) acquireDescriptor() {
+	if s.descriptors != nil {
+		s.descriptors <- struct{}{}
+	}
+}
+
+func (s *Server) releaseDescriptor() {
+	if s.descriptors != nil {
+		<-s.descriptors
 	}
 }
 
