--- a/test/proof/crowd_test.go
+++ b/test/proof/crowd_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -35,7 +36,6 @@
 // crowd is a group of callers that keep to no limits. Their connections stay open until the test has its answer.
 type crowd struct {
 	address string
-	wait    sync.WaitGroup
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -55,8 +55,9 @@
 
 // run lets callers send at the same time and waits until each has sent what it sends or cannot send it.
 func (c *crowd) run(callers int, send func(conn net.Conn)) {
+	var wait sync.WaitGroup
 	for range callers {
-		c.wait.Go(func() {
+		wait.Go(func() {
 			conn := c.dial()
 			if conn == nil {
 				return
@@ -65,7 +66,7 @@
 			send(conn)
 		})
 	}
-	c.wait.Wait()
+	wait.Wait()
 }
 
 func (c *crowd) close() {
@@ -158,6 +159,17 @@
 	}
 }
 
+// sendTogether lets several groups of callers send at the same time.
+func sendTogether(groups ...func(c *crowd)) func(c *crowd) {
+	return func(c *crowd) {
+		var wait sync.WaitGroup
+		for _, send := range groups {
+			wait.Go(func() { send(c) })
+		}
+		wait.Wait()
+	}
+}
+
 // openSilent opens more connections than the process may have descriptors and sends nothing.
 func openSilent(c *crowd) {
 	for range 2 * crowdDescriptors {
@@ -184,10 +196,13 @@
 		{"whole bodies", 0, sendBodies(40, wholeBody, crowdBodyBytes)},
 		{"bodies in pieces", 0, sendBodies(40, wholeBody, 16<<10)},
 		{"bodies without their last byte", 0, sendBodies(40, 1, crowdBodyBytes)},
+		{"bodies in pieces without their last byte", 0, sendBodies(40, 1, 16<<10)},
 		{"whole chunked bodies", 0, sendChunked(40, large, "0\r\n\r\n")},
 		{"chunked bodies without an end", 0, sendChunked(40, large, "10\r\nx")},
+		{"small chunks without an end", 0, sendChunked(40, chunked(crowdBodyBytes, 16, ""), "")},
 		{"chunks of one byte", 0, sendChunked(40, chunked(1<<20, 1, ""), "")},
 		{"chunk extensions", 0, sendChunked(40, chunked(1<<18, 16, ";a="+strings.Repeat("e", 100)), "")},
+		{"heads, bodies and chunks at once", 0, sendTogether(sendHeads("a#:"), sendBodies(20, 1, 16<<10), sendChunked(20, large, "10\r\nx"))},
 		{"trailers", 0, sendChunked(100, chunked(1<<10, 1<<10, ""), "0\r\n"+strings.Repeat("a:\r\n", 1<<16))},
 		{"bodies that are reset", 0, resetBodies},
 		{"pipelined requests whose responses are not read", 1 << 20, askWithoutReading(24, 32)},
@@ -222,6 +237,28 @@
 	}
 }
 
+// Guards against limits that refuse a single request inside them: a head of the largest size, of as many lines as fit.
+func TestLargestHeadIsServed(t *testing.T) {
+	d := newDeployment(t)
+	d.addSettings(fmt.Sprintf(`"memory_limit_bytes": %d, "max_body_bytes": %d,`, crowdMemoryBytes, crowdBodyBytes))
+	d.serve(d.platformAddress, d.platform.Handler())
+	d.startAll(func(emul.VM) emul.UpstreamConfig { return emul.UpstreamConfig{} })
+	for _, line := range []string{"a:", "a#:", "Cookie: k=v"} {
+		t.Run(line, func(t *testing.T) {
+			conn, err := net.DialTimeout("tcp", d.vms[0].CallerAddress().String(), startTimeout)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(startTimeout)))
+			_, err = conn.Write(headOf("GET", line))
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			_ = response.Body.Close()
+			require.Equal(t, http.StatusOK, response.StatusCode)
+		})
+	}
+}
+
 // Guards against limits that refuse callers inside them for good, and against uploads that take a process over its memory: eight of the largest
 // size at once, of callers that repeat what was refused, on VMs of the smallest size in use.
 func TestLargestBodiesAreServedWithinMemory(t *testing.T) {
