Limit the memory of a process by that of its machine unless settings do

A process whose settings lack memory_limit_bytes had no limit at all, so that the crowds of TestCrowdDoesNotEndAProcess end it.

Weighed: refusing to start without the setting, which breaks deployments that run today for no gain; a fixed default, which would be a guess.

Where neither can be read the memory is not limited, as before, and the log says so at the start.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -147,7 +147,7 @@
 	// StrictRevocation says that a node whose configuration is older than Revoke refuses requests that need a key.
 	StrictRevocation bool
 	Revoke           time.Duration
-	// MemoryLimitBytes is 0 if the memory of the process is not limited.
+	// MemoryLimitBytes is 0 if it is not set; see WithMachineMemory.
 	MemoryLimitBytes int64
 	// MaxDescriptors is 0 if only the operating system limits the file descriptors.
 	MaxDescriptors  int
@@ -175,6 +175,16 @@
 	return &bounded
 }
 
+// WithMachineMemory returns the settings of a process on a machine with some bytes of memory, which limit the process unless a limit is set.
+// Zero means that the memory is not known.
+func (s *Settings) WithMachineMemory(machineBytes int64) *Settings {
+	limited := *s
+	if limited.MemoryLimitBytes == 0 {
+		limited.MemoryLimitBytes = machineBytes
+	}
+	return &limited
+}
+
 // Equal reports whether both settings are the same.
 func (s *Settings) Equal(other *Settings) bool {
 	return reflect.DeepEqual(s.comparable(), other.comparable())
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -18,7 +18,7 @@
 	shortagesLogged = 2
 )
 
-// newBudget returns the memory for callers. It is not limited without memory_limit_bytes: a node that does not know the memory of its machine
+// newBudget returns the memory for callers. It is not limited if neither memory_limit_bytes nor the memory of the machine is known: the node
 // would have to refuse requests for a guess.
 func newBudget(s *conf.Settings, logger *zap.Logger, now clock) *budget.Budget {
 	if s.MemoryLimitBytes == 0 {
--- a/pkg/cmd/node/run/reload.go
+++ b/pkg/cmd/node/run/reload.go
@@ -23,11 +23,13 @@
 	// lastText is the text that was last read, valid or not, so that an invalid text is logged only once.
 	lastText []byte
 	current  *conf.Settings
-	logger   *zap.Logger
+	// machineMemory is the memory of the machine in bytes, or 0 if it is not known.
+	machineMemory int64
+	logger        *zap.Logger
 }
 
-func newReloader(file string, current *conf.Settings, logger *zap.Logger) *reloader {
-	r := &reloader{file: file, current: current, logger: logger}
+func newReloader(file string, current *conf.Settings, machineMemory int64, logger *zap.Logger) *reloader {
+	r := &reloader{file: file, current: current, machineMemory: machineMemory, logger: logger}
 	if text, err := os.ReadFile(file); err == nil {
 		r.lastText = text
 	}
@@ -66,7 +68,7 @@
 		r.logger.Warn("settings file is invalid, keeping the current settings", zap.Error(err))
 		return
 	}
-	applyRuntimeLimits(next)
+	applyRuntimeLimits(next.WithMachineMemory(r.machineMemory))
 	r.logger.Info("settings reloaded", zap.Bool("restart_needed", r.needsRestart(next)))
 	r.current = next
 }
--- a/pkg/cmd/node/run/reload_test.go
+++ b/pkg/cmd/node/run/reload_test.go
@@ -35,7 +35,7 @@
 			current, err := conf.Load(file)
 			require.NoError(t, err)
 			core, lines := observer.New(zap.InfoLevel)
-			r := newReloader(file, current, zap.New(core))
+			r := newReloader(file, current, 0, zap.New(core))
 			require.NoError(t, os.WriteFile(file, []byte(tt.next), 0o600))
 			r.reloadIfChanged()
 			r.reloadIfChanged()
--- a/pkg/cmd/node/run/run.go
+++ b/pkg/cmd/node/run/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"github.com/turmericdale/turmericdale/internal/conf"
 	"github.com/turmericdale/turmericdale/internal/logs"
@@ -63,11 +64,15 @@
 	}
 	logger, sink := logs.New(os.Stdout)
 	defer sink.Close()
-	applyRuntimeLimits(settings)
+	memory, err := machineMemory()
+	if err != nil && settings.MemoryLimitBytes == 0 {
+		logger.Warn("memory for callers is not limited: set memory_limit_bytes", zap.Error(err))
+	}
+	applyRuntimeLimits(settings.WithMachineMemory(memory))
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	go newReloader(opts.SettingsFile, settings, logger).reloadLoop(ctx)
-	n, err := node.New(settings.WithGracePeriod(gracePeriod), logger, sink)
+	go newReloader(opts.SettingsFile, settings, memory, logger).reloadLoop(ctx)
+	n, err := node.New(settings.WithMachineMemory(memory).WithGracePeriod(gracePeriod), logger, sink)
 	if err != nil {
 		return err
 	}
