--- a/test/proof/soak_test.go
+++ b/test/proof/soak_test.go
@@ -244,8 +244,8 @@
 
 func (s *soak) injectPlatformFaults() {
 	s.platform.SetFaults([]emul.PlatformFaults{
-		{Down: true}, {Delay: 150 * time.Millisecond}, {ResponseLossRate: 0.4}, {ResponseLossRate: 0.2, Delay: 40 * time.Millisecond},
-	}[s.randomIndex(4)])
+		{Down: true}, {Delay: 150 * time.Millisecond}, {ResponseLossRate: 0.4}, {ResponseLossRate: 0.2, Delay: 40 * time.Millisecond}, {Silent: true},
+	}[s.randomIndex(5)])
 	time.Sleep(s.randomDuration(300, 2500))
 	s.platform.SetFaults(emul.PlatformFaults{})
 }
