--- a/internal/emul/silence.go
+++ b/internal/emul/silence.go
@@ -8,24 +8,26 @@
 // injectSilence leaves requests that arrive or are being carried out while the platform is silent without a response.
 func (p *Platform) injectSilence(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		silences, silent := p.silence()
-		sw := &silenceableWriter{ResponseWriter: w, withhold: func() {
-			// The server notices a closed connection only once the body has been read.
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}}
+		before, silent := p.silence()
 		if silent {
-			sw.withhold()
+			withhold(r)
 		}
-		sw.isWithheld = func() bool {
-			now, _ := p.silence()
-			return now != silences
-		}
-		next.ServeHTTP(sw, r)
+		next.ServeHTTP(&silenceableWriter{ResponseWriter: w, beforeWrite: func() {
+			if now, _ := p.silence(); now != before {
+				withhold(r)
+			}
+		}}, r)
 	})
 }
 
+// withhold waits until the client gives up a request and ends it without a response.
+func withhold(r *http.Request) {
+	// The server notices a closed connection only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // silence returns how often the platform has fallen silent and whether it is silent.
 func (p *Platform) silence() (int, bool) {
 	p.mu.Lock()
@@ -33,26 +35,21 @@
 	return p.silences, p.faults.Silent
 }
 
-// silenceableWriter withholds a response if the platform has fallen silent since the request.
+// silenceableWriter is a response that may be withheld before it is written.
 type silenceableWriter struct {
 	http.ResponseWriter
 
-	isWithheld func() bool
-	withhold   func()
+	beforeWrite func()
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *silenceableWriter) WriteHeader(status int) {
-	if w.isWithheld() {
-		w.withhold()
-	}
+	w.beforeWrite()
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *silenceableWriter) Write(data []byte) (int, error) {
-	if w.isWithheld() {
-		w.withhold()
-	}
+	w.beforeWrite()
 	return w.ResponseWriter.Write(data)
 }
