Take a feed that is given up early for no sign of a silent store

Found in review: feeds of the first importers give up after 0.5 s of patience. With a store that takes longer than that to answer, the client counted each of them as a loss, so that the next answer abandoned commits in flight and relays stopped counting as current.

The importer now cancels such a feed itself and logs it, and the client judges by its own timeout of 2 s alone.

TestSlowStoreIsRead requires that the store counts as reachable, which fails on the commit before.

--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -109,7 +109,7 @@
 	if i.cursor == 0 {
 		return i.readTable(ctx)
 	}
-	changed, err := i.cfg.Store.Feed(ctx, platform.OperatorTable, i.cursor, i.nextFeedWait(), i.nextFeedPatience())
+	changed, err := i.readFeed(ctx)
 	var expired *store.HistoryExpiredError
 	if errors.As(err, &expired) {
 		i.cfg.Logger.Info("change history expired; reading the whole operator table", zap.Uint64("after_version", i.cursor))
@@ -127,6 +127,20 @@
 	return nil
 }
 
+// readFeed waits for changed rows. A feed that it gives up out of patience says nothing about the store, which may only be slow.
+func (i *Importer) readFeed(ctx context.Context) (*platform.Rows, error) {
+	wait, patience := i.nextFeedWait(), feedPatience<<min(i.unanswered, maxPatienceDoublings)
+	feedContext, giveUp := context.WithCancel(ctx)
+	defer giveUp()
+	timer := time.AfterFunc(wait+patience, giveUp)
+	defer timer.Stop()
+	changed, err := i.cfg.Store.Feed(feedContext, platform.OperatorTable, i.cursor, wait)
+	if err != nil && feedContext.Err() != nil && ctx.Err() == nil {
+		i.cfg.Logger.Info("feed of the operator table not answered", zap.Uint64("after_version", i.cursor), zap.Duration("wait", wait), zap.Duration("patience", patience))
+	}
+	return changed, err
+}
+
 // nextFeedWait returns how long to wait for changes. After a feed that failed, the table is read without a wait: changes may have been missed.
 func (i *Importer) nextFeedWait() time.Duration {
 	wait := feedWait
@@ -142,10 +156,6 @@
 	return wait
 }
 
-func (i *Importer) nextFeedPatience() time.Duration {
-	return feedPatience << min(i.unanswered, maxPatienceDoublings)
-}
-
 func (i *Importer) readTable(ctx context.Context) error {
 	from, first, present := "", uint64(0), map[string]bool{}
 	for {
--- a/internal/source/silence_test.go
+++ b/internal/source/silence_test.go
@@ -27,7 +27,7 @@
 
 // startVirtual starts a node on connections in memory, for tests in virtual time. If polls is set, it also reads the store at an interval, as
 // relays do.
-func startVirtual(t *testing.T, rank int, polls bool) (*fixture, *oplog.Log) {
+func startVirtual(t *testing.T, rank int, polls bool) (*fixture, *store.Client, *oplog.Log) {
 	t.Helper()
 	f := &fixture{t: t, platform: emul.NewPlatform(emul.PlatformConfig{Seed: 1})}
 	dial, stop := f.platform.ServeInMemory()
@@ -36,7 +36,7 @@
 	if polls {
 		pollUntilEnd(t, client)
 	}
-	return f, f.startWith(client, rank)
+	return f, client, f.startWith(client, rank)
 }
 
 func pollUntilEnd(t *testing.T, client *store.Client) {
@@ -90,7 +90,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f, log := startVirtual(t, tt.rank, tt.polls)
+				f, _, log := startVirtual(t, tt.rank, tt.polls)
 				version := 1
 				f.platform.PutRow("op", "config", encodeConfig(t, version, 1))
 				f.waitFor(log, "first configuration", func(s *tree.State) bool { return s.OperatorConfigVersion == f.configRowVersion() })
@@ -103,16 +103,19 @@
 	}
 }
 
-// Guards against a store that is slower than the first feeds are patient and whose changes are never read.
+// Guards against a store that is slower than the first feeds are patient and whose changes are never read, or that counts as silent.
 func TestSlowStoreIsRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f, log := startVirtual(t, 0, false)
+		f, client, log := startVirtual(t, 0, false)
 		f.platform.PutRow("op", "config", encodeConfig(t, 1, 1))
 		f.waitFor(log, "first configuration", func(s *tree.State) bool { return s.OperatorConfigVersion == f.configRowVersion() })
 		f.platform.SetFaults(emul.PlatformFaults{Delay: 3 * feedPatience})
 		for version := 2; version < 5; version++ {
 			f.platform.PutRow("op", "config", encodeConfig(t, version, 1))
-			f.waitFor(log, "configuration of a slow store", func(s *tree.State) bool { return s.OperatorConfigVersion == f.configRowVersion() })
+			f.waitFor(log, "configuration of a slow store", func(s *tree.State) bool {
+				require.True(t, client.IsReachable())
+				return s.OperatorConfigVersion == f.configRowVersion()
+			})
 		}
 	})
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -226,13 +226,9 @@
 	return rows, nil
 }
 
-// Feed waits, for at most wait, for rows of a table that changed after a version. The answer may take longer by the patience; zero means the
-// timeout of other operations. It returns *HistoryExpiredError or *UnavailableError.
-func (c *Client) Feed(ctx context.Context, table string, after uint64, wait, patience time.Duration) (*platform.Rows, error) {
-	if patience == 0 {
-		patience = c.timeout
-	}
-	body, era, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+patience)
+// Feed waits, for at most wait, for rows of a table that changed after a version; it returns *HistoryExpiredError or *UnavailableError.
+func (c *Client) Feed(ctx context.Context, table string, after uint64, wait time.Duration) (*platform.Rows, error) {
+	body, era, err := c.read(ctx, operationFeed, platform.FeedRequest(table, after, wait), wait+c.timeout)
 	var status *StatusError
 	if errors.As(err, &status) && platform.IsHistoryExpired(status.Status) {
 		return nil, &HistoryExpiredError{Table: table, After: after}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -102,15 +102,15 @@
 	require.NoError(t, err)
 	require.Len(t, rows.Rows, 1)
 	go platform.PutRow("op", "config", []byte("2"))
-	changed, err := c.Feed(t.Context(), "op", rows.Version, time.Minute, 0)
+	changed, err := c.Feed(t.Context(), "op", rows.Version, time.Minute)
 	require.NoError(t, err)
 	require.Equal(t, []byte("2"), changed.Rows[0].GetValue())
-	none, err := c.Feed(t.Context(), "op", changed.Version, time.Millisecond, 0)
+	none, err := c.Feed(t.Context(), "op", changed.Version, time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, none.Rows)
 	platform.PutRow("op", "config", []byte("3"))
 	platform.ExpireHistory()
-	_, err = c.Feed(t.Context(), "op", rows.Version, time.Minute, 0)
+	_, err = c.Feed(t.Context(), "op", rows.Version, time.Minute)
 	var expired *HistoryExpiredError
 	require.ErrorAs(t, err, &expired)
 }
@@ -156,7 +156,7 @@
 				Observe: func(operation string, _ time.Duration, _ error) { operations = append(operations, operation) },
 			})
 			t.Cleanup(c.Close)
-			_, err := c.Feed(t.Context(), "op", 1, time.Second, 0)
+			_, err := c.Feed(t.Context(), "op", 1, time.Second)
 			require.Equal(t, status != http.StatusOK, err != nil)
 			require.Equal(t, observed, operations)
 		})
--- a/internal/store/inflight_test.go
+++ b/internal/store/inflight_test.go
@@ -31,7 +31,7 @@
 func startFeed(ctx context.Context, c *Client) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		_, err := c.Feed(ctx, "op", 1, time.Minute, 0)
+		_, err := c.Feed(ctx, "op", 1, time.Minute)
 		done <- err
 	}()
 	synctest.Wait()
