--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -64,7 +64,7 @@
 	cfg Config
 	// cursor is the version up to which the table has been read; 0 means that the whole table must be read.
 	cursor uint64
-	// unanswered is the number of feeds in a row that failed.
+	// failedFeeds is the number of feeds in a row that failed.
 	unanswered int
 	rows       map[string]*wirepb.Row
 	// fullRead is the newest read of the whole table, or nil once the evacuations that it lacks have been found.
