--- a/internal/source/import.go
+++ b/internal/source/import.go
@@ -65,8 +65,8 @@
 	// cursor is the version up to which the table has been read; 0 means that the whole table must be read.
 	cursor uint64
 	// failedFeeds is the number of feeds in a row that failed.
-	unanswered int
-	rows       map[string]*wirepb.Row
+	failedFeeds int
+	rows        map[string]*wirepb.Row
 	// fullRead is the newest read of the whole table, or nil once the evacuations that it lacks have been found.
 	fullRead *fullRead
 	// readAt holds the times at which the rows were read.
@@ -116,10 +116,10 @@
 		return i.readTable(ctx)
 	}
 	if err != nil {
-		i.unanswered++
+		i.failedFeeds++
 		return err
 	}
-	i.unanswered = 0
+	i.failedFeeds = 0
 	if changed.Era != i.era {
 		return i.readTable(ctx)
 	}
@@ -129,7 +129,7 @@
 
 // readFeed waits for changed rows. A feed that it gives up out of patience says nothing about the store, which may only be slow.
 func (i *Importer) readFeed(ctx context.Context) (*platform.Rows, error) {
-	wait, patience := i.nextFeedWait(), feedPatience<<min(i.unanswered, maxPatienceDoublings)
+	wait, patience := i.nextFeedWait(), feedPatience<<min(i.failedFeeds, maxPatienceDoublings)
 	feedContext, giveUp := context.WithCancel(ctx)
 	defer giveUp()
 	timer := time.AfterFunc(wait+patience, giveUp)
@@ -145,7 +145,7 @@
 func (i *Importer) nextFeedWait() time.Duration {
 	wait := feedWait
 	switch {
-	case i.unanswered > 0:
+	case i.failedFeeds > 0:
 		return 0
 	case i.cfg.Rank() < promptImporters:
 		wait = promptFeedWait
