--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,8 +32,13 @@
 	logFile                                  *os.File
 	settings                                 string
 	ended                                    chan struct{}
+	// stopped means that the platform sends no more clients to the node.
+	stopped atomic.Bool
 }
 
+// takesClients reports whether clients may send new work to the node.
+func (n *node) takesClients() bool { return !n.stopped.Load() }
+
 // deployment is a small deployment on loopback.
 type deployment struct {
 	directory string
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -20,6 +20,8 @@
 	ID, Method, Target, Caller string
 	Instance, Service          string
 	At                         time.Time
+	// Cut is when the connection was closed while the server was at work, or zero.
+	Cut time.Time
 }
 
 // appServer is a stand-in of an application server: it speaks what the pages say of servers.
@@ -112,7 +114,7 @@
 	}
 	s.running++
 	s.runs = append(s.runs, run{ID: id, Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get("X-Caller-Service"), Instance: s.id, Service: s.service, At: time.Now()})
-	load := s.running
+	load, number := s.running, len(s.runs)-1
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -123,6 +125,9 @@
 		select {
 		case <-time.After(s.workOf(r)):
 		case <-r.Context().Done():
+			s.mu.Lock()
+			s.runs[number].Cut = time.Now()
+			s.mu.Unlock()
 			return
 		}
 	}
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -153,6 +153,22 @@
 	return time.Now()
 }
 
+// status returns the state that a row of the table status names, or an empty text.
+func (s *store) status(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, found := s.rows[rowKey{"status", "", key}]
+	if !found || row.Value == nil {
+		return ""
+	}
+	text, _ := base64.StdEncoding.DecodeString(*row.Value)
+	var status struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(text, &status)
+	return status.State
+}
+
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("limit"))
