--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -16,6 +16,7 @@
 		"stop-slow-reader": runStopSlowReader,
 		"stalled-bodies":   runStalledBodies,
 		"foreign-beat":     runForeignBeat,
+		"spoiled-stamp":    runSpoiledStamp,
 		"good-rollout":     runGoodRollout,
 	}
 	run, found := cases[os.Args[1]]
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -34,6 +34,9 @@
 	// bodyOf returns the body of the answer to a request; workOf how long the work takes.
 	bodyOf func(r *http.Request, body []byte) []byte
 	workOf func(r *http.Request) time.Duration
+	// spoil says whether to spoil the answer to a request, onSpoiled is called with the spoiled line; nil spoils none.
+	spoil     func(id string) bool
+	onSpoiled func(id, line string)
 
 	mu       sync.Mutex
 	runs     []run
@@ -135,6 +138,12 @@
 	if s.bodyOf != nil {
 		answer = s.bodyOf(r, body)
 	}
+	if s.spoil != nil && s.spoil(id) {
+		if line, ok := s.spoiledAnswer(w, id, answer); ok {
+			s.onSpoiled(id, line)
+			return
+		}
+	}
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", load, s.slots))
 	w.Header().Set("X-Response-Stamp", stampOf(s.id, id, answer))
 	w.Header().Set("Keep-Alive", "timeout=10")
