--- a/review/stand2/case_rollout.go
+++ b/review/stand2/case_rollout.go
@@ -76,7 +76,7 @@
 			requests = append(requests, request)
 			mu.Unlock()
 			wait.Go(func() { request.send() })
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(75 * time.Millisecond)
 		}
 	})
 	time.Sleep(3 * time.Second)
